--- /dev/null
+++ b/event.go
@@ -0,0 +1,66 @@
+package chestnutpond
+
+import "time"
+
+// EventKind names what happened.
+type EventKind string
+
+// The kinds of events.
+const (
+	EventAccepted      EventKind = "accepted"
+	EventPlaced        EventKind = "placed"
+	EventWaiting       EventKind = "waiting"
+	EventPrepared      EventKind = "prepared"
+	EventCommitted     EventKind = "committed"
+	EventStarted       EventKind = "started"
+	EventBorrowed      EventKind = "borrowed"
+	EventReclaimed     EventKind = "reclaimed"
+	EventCheckpointed  EventKind = "checkpointed"
+	EventStopped       EventKind = "stopped"
+	EventEnded         EventKind = "ended"
+	EventCancelled     EventKind = "cancelled"
+	EventLeaseLapsed   EventKind = "lease_lapsed"
+	EventJoined        EventKind = "upstream_joined"
+	EventLeaving       EventKind = "upstream_leaving"
+	EventLostUpstream  EventKind = "upstream_lost"
+	EventEjected       EventKind = "ejected"
+	EventConfigInForce EventKind = "config_in_force"
+	EventLogLost       EventKind = "log_lost"
+	EventLogBack       EventKind = "log_back"
+	EventTerm          EventKind = "term_claimed"
+	EventTermOver      EventKind = "term_over"
+	EventServed        EventKind = "served"
+	EventRefused       EventKind = "refused"
+	EventConnReplaced  EventKind = "connection_replaced"
+	EventDraining      EventKind = "draining"
+)
+
+// EventID identifies an event over all processes: <process>/<incarnation>/<sequence>.
+type EventID string
+
+// Event is one entry of the time line.
+type Event struct {
+	// ID is assigned by the sink that records the event.
+	ID          EventID
+	Process     string
+	Incarnation int64
+	// Sequence ascends without gaps in one incarnation of a process.
+	Sequence int64
+	// At is for people; the order of events follows Sequence and Cause.
+	At       time.Time
+	Kind     EventKind
+	Job      JobID
+	Attempt  int64
+	Request  string
+	Upstream string
+	Account  string
+	Detail   string
+	// Cause is the event that led to this one; empty if none.
+	Cause EventID
+}
+
+// EventSink records events. Add never blocks.
+type EventSink interface {
+	// Add assigns process, incarnation, sequence, time and ID, and returns the ID.
+	Add(e Event) EventID
+}
