--- /dev/null
+++ b/internal/obs/events/convert.go
@@ -0,0 +1,62 @@
+package events
+
+import (
+	"time"
+
+	"github.com/chestnutpond/chestnutpond"
+	"github.com/chestnutpond/chestnutpond/internal/wire/inner"
+)
+
+// Reply answers a call of the inner protocol's Events from the ring.
+func (r *Ring) Reply(q *inner.EventsRequest) *inner.EventsReply {
+	filter := Filter{
+		Job:      chestnutpond.JobID(q.GetJob()),
+		Request:  q.GetRequest(),
+		Upstream: q.GetUpstream(),
+	}
+	selected, next, dropped := r.Since(q.GetSince(), filter, int(q.GetLimit()))
+	reply := &inner.EventsReply{Next: next, Dropped: dropped}
+	for _, e := range selected {
+		reply.Events = append(reply.Events, ToInner(e))
+	}
+	return reply
+}
+
+// ToInner converts an event to its form in the inner protocol. The id is not
+// sent; it follows from process, incarnation and sequence.
+func ToInner(e chestnutpond.Event) *inner.Event {
+	return &inner.Event{
+		Process:     e.Process,
+		Incarnation: e.Incarnation,
+		Sequence:    e.Sequence,
+		AtUnixNano:  e.At.UnixNano(),
+		Kind:        string(e.Kind),
+		Job:         string(e.Job),
+		Attempt:     e.Attempt,
+		Request:     e.Request,
+		Upstream:    e.Upstream,
+		Account:     e.Account,
+		Detail:      e.Detail,
+		Cause:       string(e.Cause),
+	}
+}
+
+// FromInner converts an event from its form in the inner protocol. Its time is
+// in UTC.
+func FromInner(m *inner.Event) chestnutpond.Event {
+	return chestnutpond.Event{
+		ID:          NewID(m.GetProcess(), m.GetIncarnation(), m.GetSequence()),
+		Process:     m.GetProcess(),
+		Incarnation: m.GetIncarnation(),
+		Sequence:    m.GetSequence(),
+		At:          time.Unix(0, m.GetAtUnixNano()).UTC(),
+		Kind:        chestnutpond.EventKind(m.GetKind()),
+		Job:         chestnutpond.JobID(m.GetJob()),
+		Attempt:     m.GetAttempt(),
+		Request:     m.GetRequest(),
+		Upstream:    m.GetUpstream(),
+		Account:     m.GetAccount(),
+		Detail:      m.GetDetail(),
+		Cause:       chestnutpond.EventID(m.GetCause()),
+	}
+}
