Command line of callers and operators, and the time line

Cause: operators publish and look, callers submit and cancel; both must be able to tell "not run" from "unknown" without reading logs.

Ruled out: sending a publication again after a lost answer (an entry could report its own first sending as the winner), reporting the refusal of a later try after an unknown one (the first may be accepted), an order of events by clock (clocks of hosts differ), a page that needs scripts or other files.

Without an own action the library exits with code 3 for a wrong subcommand, which is the code for a lost publication here.

Before: the program did nothing.

Conclusion: not yet run against a real entry. declared is sent as a duration text and at is read as RFC 3339; the server must agree.

--- a/cmd/chestnutpond/main.go
+++ b/cmd/chestnutpond/main.go
@@ -2,5 +2,30 @@
 // the tools.
 package main
 
+import (
+	"context"
+	"fmt"
+	"os"
+
+	"github.com/urfave/cli/v3"
+
+	"github.com/chestnutpond/chestnutpond/internal/tool/client"
+)
+
 func main() {
+	root := &cli.Command{
+		Name:     "chestnutpond",
+		Usage:    "places the work of client accounts on a shared fleet of workers with accelerators",
+		Action:   client.NoCommand,
+		Commands: commands(),
+	}
+	if err := root.Run(context.Background(), os.Args); err != nil {
+		fmt.Fprintln(os.Stderr, "chestnutpond:", err)
+		os.Exit(client.ExitFailed)
+	}
+}
+
+// commands returns all subcommands.
+func commands() []*cli.Command {
+	return client.Commands()
 }
