Fold of the log and member tables

Cause: placement, configuration and at-most-once all rest on one agreed order.

Ruled out: a wall-clock lease for the scheduler; deduplication by record id in a separate table (every record type is idempotent by its own precondition).

Before: nothing.

Conclusion: both cores are free of clocks and sockets.

--- /dev/null
+++ b/internal/core/fleet/peers.go
@@ -0,0 +1,119 @@
+package fleet
+
+import (
+	"sort"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// Peer is another entry.
+type Peer struct {
+	Name        string
+	Incarnation int64
+	Address     string
+	Region      string
+	Zone        string
+	// Heard is when this entry last got an answer from the peer.
+	Heard time.Duration
+	// Lost means that the peer is silent.
+	Lost bool
+	// LostAt is when Lost was set.
+	LostAt time.Duration
+}
+
+// PeersConfig makes a Peers.
+type PeersConfig struct {
+	Self Peer
+	// LostAfter is the silence that makes a peer lost.
+	LostAfter time.Duration
+}
+
+// Peers holds the other entries.
+type Peers struct {
+	cfg   PeersConfig
+	peers map[string]*Peer
+}
+
+// NewPeers returns a table without peers.
+func NewPeers(cfg PeersConfig) *Peers {
+	return &Peers{cfg: cfg, peers: make(map[string]*Peer)}
+}
+
+// Heard notes an answer of a peer itself. A lower incarnation is left out.
+func (p *Peers) Heard(now time.Duration, peer Peer) {
+	old, ok := p.peers[peer.Name]
+	if peer.Name == p.cfg.Self.Name || (ok && old.Incarnation > peer.Incarnation) {
+		return
+	}
+	peer.Heard = now
+	peer.Lost = false
+	p.peers[peer.Name] = &peer
+}
+
+// Expire marks silent peers as lost and returns their names, sorted.
+func (p *Peers) Expire(now time.Duration) []string {
+	var lost []string
+	for name, peer := range p.peers {
+		if !peer.Lost && now-peer.Heard > p.cfg.LostAfter {
+			peer.Lost = true
+			peer.LostAt = now
+			lost = append(lost, name)
+		}
+	}
+	sort.Strings(lost)
+	return lost
+}
+
+// LostSince tells since when a peer is lost. An unknown peer is not lost.
+func (p *Peers) LostSince(name string) (time.Duration, bool) {
+	peer, ok := p.peers[name]
+	if !ok || !peer.Lost {
+		return 0, false
+	}
+	return peer.LostAt, true
+}
+
+// Get returns a peer.
+func (p *Peers) Get(name string) (Peer, bool) {
+	peer, ok := p.peers[name]
+	if !ok {
+		return Peer{}, false
+	}
+	return *peer, true
+}
+
+// All returns the peers, by name.
+func (p *Peers) All() []Peer {
+	all := make([]Peer, 0, len(p.peers))
+	for _, peer := range p.peers {
+		all = append(all, *peer)
+	}
+	sort.Slice(all, func(i, j int) bool { return all[i].Name < all[j].Name })
+	return all
+}
+
+// Rank returns the place of this entry in the order in which the live entries
+// may claim the term of a region: entries of the region first, then by
+// rendezvous hash.
+func (p *Peers) Rank(region string) int {
+	self := p.cfg.Self
+	rank := 0
+	for _, peer := range p.peers {
+		if !peer.Lost && before(*peer, self, region) {
+			rank++
+		}
+	}
+	return rank
+}
+
+func before(a, b Peer, region string) bool {
+	if (a.Region == region) != (b.Region == region) {
+		return a.Region == region
+	}
+	return weight(a.Name, region) > weight(b.Name, region)
+}
+
+func weight(name, region string) uint64 {
+	return xxhash.Sum64String(name + "\x00" + region)
+}
--- /dev/null
+++ b/internal/core/ledger/record.go
@@ -0,0 +1,236 @@
+package ledger
+
+import (
+	"encoding/json"
+	"fmt"
+
+	"github.com/zeebo/errs"
+
+	"github.com/chestnutpond/chestnutpond"
+)
+
+// Error is the class of this package's errors.
+var Error = errs.Class("ledger")
+
+// recordVersion is the version of the record format that this code writes and
+// the highest that it reads.
+const recordVersion = 1
+
+// Origin is the process that appended a record.
+type Origin struct {
+	Process     string `json:"process"`
+	Incarnation int64  `json:"incarnation"`
+}
+
+// Body is the content of a record.
+type Body interface {
+	kind() string
+}
+
+// Publish offers a document.
+type Publish struct {
+	// ID identifies the publication, so that its author can ask for its outcome.
+	ID      string `json:"id"`
+	Service string `json:"service"`
+	// Base is the version that the author edited.
+	Base     int64  `json:"base"`
+	Document []byte `json:"document"`
+}
+
+// ClaimTerm claims the next term of a region for the record's origin.
+type ClaimTerm struct {
+	Region string `json:"region"`
+	Number int64  `json:"number"`
+}
+
+// ReleaseTerm gives up a term that the record's origin holds.
+type ReleaseTerm struct {
+	Region string `json:"region"`
+	Number int64  `json:"number"`
+}
+
+// AcceptJob makes a job durable.
+type AcceptJob struct {
+	Spec chestnutpond.JobSpec `json:"spec"`
+}
+
+// StartJob begins an attempt.
+type StartJob struct {
+	Job        chestnutpond.JobID       `json:"job"`
+	Attempt    int64                    `json:"attempt"`
+	Region     string                   `json:"region"`
+	Term       int64                    `json:"term"`
+	Guaranteed bool                     `json:"guaranteed"`
+	Placements []chestnutpond.Placement `json:"placements"`
+}
+
+// StopJob says that nothing of an attempt runs any more and that the job waits
+// again.
+type StopJob struct {
+	Job        chestnutpond.JobID `json:"job"`
+	Attempt    int64              `json:"attempt"`
+	Region     string             `json:"region"`
+	Term       int64              `json:"term"`
+	Checkpoint string             `json:"checkpoint,omitempty"`
+	Reason     string             `json:"reason"`
+}
+
+// EndJob ends a job for good.
+type EndJob struct {
+	Job     chestnutpond.JobID    `json:"job"`
+	Attempt int64                 `json:"attempt"`
+	Region  string                `json:"region"`
+	Term    int64                 `json:"term"`
+	State   chestnutpond.JobState `json:"state"`
+	Result  string                `json:"result,omitempty"`
+	Reason  string                `json:"reason,omitempty"`
+}
+
+// CancelJob cancels a job. A waiting job never starts after it.
+type CancelJob struct {
+	Job chestnutpond.JobID `json:"job"`
+}
+
+// Intents are written before non-idempotent requests are sent.
+type Intents struct {
+	Intents []IntentID `json:"intents"`
+}
+
+// IntentID is one use of a key.
+type IntentID struct {
+	Key string `json:"key"`
+	// ID tells repeated uses of the key by one origin apart.
+	ID string `json:"id"`
+}
+
+// CloseIntents says how intents ended.
+type CloseIntents struct {
+	Closed []ClosedIntent `json:"closed"`
+}
+
+// ClosedIntent is the end of one intent.
+type ClosedIntent struct {
+	Key string `json:"key"`
+	ID  string `json:"id"`
+	// NotRun frees the key, because the request was never sent.
+	NotRun bool `json:"not_run"`
+}
+
+// SnapshotPart is one part of a snapshot.
+type SnapshotPart struct {
+	ID    string `json:"id"`
+	Part  int    `json:"part"`
+	Parts int    `json:"parts"`
+	// Next is the offset of the first record that the snapshot does not cover.
+	Next int64  `json:"next"`
+	Data []byte `json:"data"`
+}
+
+func (Publish) kind() string      { return "publish" }
+func (ClaimTerm) kind() string    { return "term" }
+func (ReleaseTerm) kind() string  { return "term_release" }
+func (AcceptJob) kind() string    { return "job_accept" }
+func (StartJob) kind() string     { return "job_start" }
+func (StopJob) kind() string      { return "job_stop" }
+func (EndJob) kind() string       { return "job_end" }
+func (CancelJob) kind() string    { return "job_cancel" }
+func (Intents) kind() string      { return "intent" }
+func (CloseIntents) kind() string { return "intent_close" }
+func (SnapshotPart) kind() string { return "snapshot" }
+
+// envelope is a record as it stands in the stream.
+type envelope struct {
+	Version int             `json:"version"`
+	Kind    string          `json:"kind"`
+	By      Origin          `json:"by"`
+	Body    json.RawMessage `json:"body"`
+}
+
+// VersionError means that a record was written by a later release. The reader
+// must not go on, because it cannot know what the record changes.
+type VersionError struct {
+	Offset  int64
+	Version int
+}
+
+// Error implements error.
+func (e *VersionError) Error() string {
+	return fmt.Sprintf("record at offset %d has version %d; this release reads up to version %d",
+		e.Offset, e.Version, recordVersion)
+}
+
+// FormatError means that a record cannot be read. All readers skip it alike.
+type FormatError struct {
+	Offset int64
+	Err    error
+}
+
+// Error implements error.
+func (e *FormatError) Error() string {
+	return fmt.Sprintf("record at offset %d: %v", e.Offset, e.Err)
+}
+
+// Unwrap returns the cause.
+func (e *FormatError) Unwrap() error { return e.Err }
+
+// Encode returns the record of body by origin.
+func Encode(by Origin, body Body) ([]byte, error) {
+	raw, err := json.Marshal(body)
+	if err != nil {
+		return nil, Error.Wrap(err)
+	}
+	data, err := json.Marshal(envelope{Version: recordVersion, Kind: body.kind(), By: by, Body: raw})
+	return data, Error.Wrap(err)
+}
+
+// Decode reads a record. The error is a *VersionError or a *FormatError.
+func Decode(rec chestnutpond.Record) (Origin, Body, error) {
+	var env envelope
+	if err := json.Unmarshal(rec.Data, &env); err != nil {
+		return Origin{}, nil, &FormatError{Offset: rec.Offset, Err: err}
+	}
+	if env.Version > recordVersion {
+		return Origin{}, nil, &VersionError{Offset: rec.Offset, Version: env.Version}
+	}
+	body, err := decodeBody(env)
+	if err != nil {
+		return Origin{}, nil, &FormatError{Offset: rec.Offset, Err: err}
+	}
+	return env.By, body, nil
+}
+
+func decodeBody(env envelope) (Body, error) {
+	switch env.Kind {
+	case Publish{}.kind():
+		return decodeAs[Publish](env.Body)
+	case ClaimTerm{}.kind():
+		return decodeAs[ClaimTerm](env.Body)
+	case ReleaseTerm{}.kind():
+		return decodeAs[ReleaseTerm](env.Body)
+	case AcceptJob{}.kind():
+		return decodeAs[AcceptJob](env.Body)
+	case StartJob{}.kind():
+		return decodeAs[StartJob](env.Body)
+	case StopJob{}.kind():
+		return decodeAs[StopJob](env.Body)
+	case EndJob{}.kind():
+		return decodeAs[EndJob](env.Body)
+	case CancelJob{}.kind():
+		return decodeAs[CancelJob](env.Body)
+	case Intents{}.kind():
+		return decodeAs[Intents](env.Body)
+	case CloseIntents{}.kind():
+		return decodeAs[CloseIntents](env.Body)
+	case SnapshotPart{}.kind():
+		return decodeAs[SnapshotPart](env.Body)
+	}
+	return nil, fmt.Errorf("unknown kind %q", env.Kind)
+}
+
+func decodeAs[T Body](raw json.RawMessage) (Body, error) {
+	var body T
+	if err := json.Unmarshal(raw, &body); err != nil {
+		return nil, err
+	}
+	return body, nil
+}
--- /dev/null
+++ b/internal/core/ledger/snap.go
@@ -0,0 +1,165 @@
+package ledger
+
+import (
+	"bytes"
+	"compress/gzip"
+	"encoding/json"
+	"io"
+	"sort"
+
+	"github.com/chestnutpond/chestnutpond"
+)
+
+const (
+	// snapshotPartSize bounds the data of one snapshot record, in bytes.
+	snapshotPartSize = 48 << 10
+	// snapshotMaxSize bounds an unpacked snapshot, in bytes.
+	snapshotMaxSize = 256 << 20
+)
+
+// image is the serialized form of a State.
+type image struct {
+	Version      int           `json:"version"`
+	Next         int64         `json:"next"`
+	Configs      []Config      `json:"configs"`
+	Publications []Publication `json:"publications"`
+	Terms        []Term        `json:"terms"`
+	// Jobs are in the order of their acceptance.
+	Jobs []Job `json:"jobs"`
+	// Intents are in the order of their offsets.
+	Intents []Intent `json:"intents"`
+}
+
+// Snapshot returns the whole state, packed.
+func (s *State) Snapshot() ([]byte, error) {
+	img := image{Version: recordVersion, Next: s.next, Terms: s.Terms()}
+	for _, name := range s.Services() {
+		img.Configs = append(img.Configs, s.configs[name])
+	}
+	for _, id := range s.publicationOrder {
+		img.Publications = append(img.Publications, s.publications[id])
+	}
+	img.Jobs = s.Jobs(func(Job) bool { return true })
+	for _, age := range s.intentOrder {
+		if in, ok := s.intents[age.key]; ok && in.Offset == age.offset {
+			img.Intents = append(img.Intents, in)
+		}
+	}
+	var buf bytes.Buffer
+	w := gzip.NewWriter(&buf)
+	if err := json.NewEncoder(w).Encode(img); err != nil {
+		return nil, Error.Wrap(err)
+	}
+	if err := w.Close(); err != nil {
+		return nil, Error.Wrap(err)
+	}
+	return buf.Bytes(), nil
+}
+
+// Restore returns the state of a snapshot.
+func Restore(data []byte) (*State, error) {
+	r, err := gzip.NewReader(bytes.NewReader(data))
+	if err != nil {
+		return nil, Error.Wrap(err)
+	}
+	var img image
+	if err := json.NewDecoder(io.LimitReader(r, snapshotMaxSize)).Decode(&img); err != nil {
+		return nil, Error.Wrap(err)
+	}
+	if img.Version > recordVersion {
+		return nil, &VersionError{Offset: img.Next, Version: img.Version}
+	}
+	s := New()
+	s.next = img.Next
+	s.load(img)
+	return s, nil
+}
+
+func (s *State) load(img image) {
+	for _, c := range img.Configs {
+		s.configs[c.Service] = c
+	}
+	for _, p := range img.Publications {
+		s.publications[p.ID] = p
+		s.publicationOrder = append(s.publicationOrder, p.ID)
+	}
+	for _, t := range img.Terms {
+		s.terms[t.Region] = t
+	}
+	var ended []Job
+	for _, j := range img.Jobs {
+		s.jobs[j.Spec.ID] = &j
+		if j.State.Final() {
+			ended = append(ended, j)
+		}
+	}
+	sort.SliceStable(ended, func(i, k int) bool { return ended[i].Ended < ended[k].Ended })
+	for _, j := range ended {
+		s.endedOrder = append(s.endedOrder, j.Spec.ID)
+	}
+	for _, in := range img.Intents {
+		s.intents[in.Key] = in
+		s.intentOrder = append(s.intentOrder, intentAge{key: in.Key, offset: in.Offset})
+	}
+}
+
+// Parts cuts a snapshot of the state before offset next into records.
+func Parts(id string, next int64, data []byte) []SnapshotPart {
+	count := (len(data) + snapshotPartSize - 1) / snapshotPartSize
+	parts := make([]SnapshotPart, 0, count)
+	for i := range count {
+		end := min((i+1)*snapshotPartSize, len(data))
+		parts = append(parts, SnapshotPart{
+			ID: id, Part: i, Parts: count, Next: next, Data: data[i*snapshotPartSize : end],
+		})
+	}
+	return parts
+}
+
+// Assembler collects the parts of snapshots while a process reads the retained
+// records, and keeps the newest complete snapshot.
+type Assembler struct {
+	// open holds the parts seen so far, by snapshot; parts repeat harmlessly.
+	open map[string]map[int][]byte
+	best []byte
+	// next is the Next of best, -1 while there is none.
+	next int64
+}
+
+// NewAssembler returns an assembler without parts.
+func NewAssembler() *Assembler {
+	return &Assembler{open: make(map[string]map[int][]byte), next: -1}
+}
+
+// Add looks at one record; records other than snapshot parts are left out.
+func (a *Assembler) Add(rec chestnutpond.Record) {
+	_, body, err := Decode(rec)
+	if err != nil {
+		return
+	}
+	part, ok := body.(SnapshotPart)
+	if !ok || part.Parts <= 0 || part.Part < 0 || part.Part >= part.Parts || part.Next <= a.next {
+		return
+	}
+	parts := a.open[part.ID]
+	if parts == nil {
+		parts = make(map[int][]byte)
+		a.open[part.ID] = parts
+	}
+	parts[part.Part] = part.Data
+	if len(parts) < part.Parts {
+		return
+	}
+	var data []byte
+	for i := range part.Parts {
+		data = append(data, parts[i]...)
+	}
+	delete(a.open, part.ID)
+	a.best = data
+	a.next = part.Next
+}
+
+// Best returns the newest complete snapshot and the offset that follows it.
+func (a *Assembler) Best() (data []byte, next int64, ok bool) {
+	return a.best, a.next, a.next >= 0
+}
--- /dev/null
+++ b/internal/core/ledger/state.go
@@ -0,0 +1,201 @@
+package ledger
+
+import (
+	"sort"
+
+	"github.com/chestnutpond/chestnutpond"
+)
+
+// Bounds of the state. When one is reached, the oldest are dropped.
+const (
+	endedJobLimit    = 16384
+	intentLimit      = 65536
+	publicationLimit = 8192
+)
+
+// Config is the document of one service as published.
+type Config struct {
+	Service string `json:"service"`
+	// Version counts the accepted publications; it only grows.
+	Version  int64  `json:"version"`
+	Document []byte `json:"document"`
+}
+
+// Publication is the outcome of one offer of a document.
+type Publication struct {
+	ID       string `json:"id"`
+	Service  string `json:"service"`
+	Accepted bool   `json:"accepted"`
+	// Version is the version that the offer became, or the one that it lost to.
+	Version int64 `json:"version"`
+}
+
+// Term is the current term of a region.
+type Term struct {
+	Region string `json:"region"`
+	// Number is 0 before the first claim and grows by 1 with each.
+	Number   int64  `json:"number"`
+	Holder   Origin `json:"holder"`
+	Released bool   `json:"released"`
+}
+
+// Held reports whether origin holds the term.
+func (t Term) Held(by Origin) bool {
+	return t.Number > 0 && !t.Released && t.Holder == by
+}
+
+// Job is an accepted job.
+type Job struct {
+	Spec chestnutpond.JobSpec `json:"spec"`
+	// State is queued, running, stopping (cancelled while running) or final.
+	State chestnutpond.JobState `json:"state"`
+	// Attempt is the number of the last attempt that was started, 0 for none.
+	Attempt int64 `json:"attempt"`
+	// Placements are those of the last attempt.
+	Placements []chestnutpond.Placement `json:"placements,omitempty"`
+	Guaranteed bool                     `json:"guaranteed,omitempty"`
+	Checkpoint string                   `json:"checkpoint,omitempty"`
+	Result     string                   `json:"result,omitempty"`
+	Reason     string                   `json:"reason,omitempty"`
+	// Accepted is the offset of the acceptance.
+	Accepted int64 `json:"accepted"`
+	// Ended is the offset of the end, 0 while the job has not ended.
+	Ended int64 `json:"ended,omitempty"`
+}
+
+// Intent is the latest use of a key.
+type Intent struct {
+	Key    string `json:"key"`
+	ID     string `json:"id"`
+	Holder Origin `json:"holder"`
+	// Closed means that the holder has recorded the end of the request.
+	Closed bool  `json:"closed,omitempty"`
+	Offset int64 `json:"offset"`
+}
+
+// State is the fold of the log. It is not safe for concurrent use.
+type State struct {
+	// next is the offset of the record to apply next.
+	next         int64
+	configs      map[string]Config
+	publications map[string]Publication
+	// publicationOrder lists the keys of publications, oldest first.
+	publicationOrder []string
+	terms            map[string]Term
+	jobs             map[chestnutpond.JobID]*Job
+	// endedOrder lists the final jobs, oldest end first.
+	endedOrder []chestnutpond.JobID
+	intents    map[string]Intent
+	// intentOrder lists (key, offset) of all intents, oldest first; an element
+	// whose offset differs from that of the key's intent is obsolete.
+	intentOrder []intentAge
+}
+
+type intentAge struct {
+	key    string
+	offset int64
+}
+
+// New returns the state before the first record.
+func New() *State {
+	return &State{
+		configs:      make(map[string]Config),
+		publications: make(map[string]Publication),
+		terms:        make(map[string]Term),
+		jobs:         make(map[chestnutpond.JobID]*Job),
+		intents:      make(map[string]Intent),
+	}
+}
+
+// Next returns the offset of the record to apply next.
+func (s *State) Next() int64 { return s.next }
+
+// Config returns the current document of a service.
+func (s *State) Config(service string) (Config, bool) {
+	c, ok := s.configs[service]
+	return c, ok
+}
+
+// Services returns the names of the services that have a document, sorted.
+func (s *State) Services() []string {
+	names := make([]string, 0, len(s.configs))
+	for name := range s.configs {
+		names = append(names, name)
+	}
+	sort.Strings(names)
+	return names
+}
+
+// Publication returns the outcome of a publication. It is unknown when its
+// record was not applied, or was dropped after 8,192 later ones.
+func (s *State) Publication(id string) (Publication, bool) {
+	p, ok := s.publications[id]
+	return p, ok
+}
+
+// Term returns the current term of a region; Number is 0 if there was none.
+func (s *State) Term(region string) Term {
+	t, ok := s.terms[region]
+	if !ok {
+		return Term{Region: region}
+	}
+	return t
+}
+
+// Terms returns the current terms, by region name.
+func (s *State) Terms() []Term {
+	terms := make([]Term, 0, len(s.terms))
+	for _, t := range s.terms {
+		terms = append(terms, t)
+	}
+	sort.Slice(terms, func(i, j int) bool { return terms[i].Region < terms[j].Region })
+	return terms
+}
+
+// Job returns a copy of a job.
+func (s *State) Job(id chestnutpond.JobID) (Job, bool) {
+	j, ok := s.jobs[id]
+	if !ok {
+		return Job{}, false
+	}
+	return *j, true
+}
+
+// Jobs returns copies of the jobs that keep accepts, by offset of acceptance.
+func (s *State) Jobs(keep func(Job) bool) []Job {
+	var jobs []Job
+	for _, j := range s.jobs {
+		if keep(*j) {
+			jobs = append(jobs, *j)
+		}
+	}
+	sort.Slice(jobs, func(i, k int) bool { return jobs[i].Accepted < jobs[k].Accepted })
+	return jobs
+}
+
+// Waiting returns how many jobs of an account wait in a region.
+func (s *State) Waiting(account, region string) int {
+	n := 0
+	for _, j := range s.jobs {
+		if j.State == chestnutpond.JobQueued && j.Spec.Account == account && j.Spec.Region == region {
+			n++
+		}
+	}
+	return n
+}
+
+// Intent returns the latest use of a key.
+func (s *State) Intent(key string) (Intent, bool) {
+	in, ok := s.intents[key]
+	return in, ok
+}
+
+// IntentsFull reports whether the oldest remembered intent is still open, so
+// that a new one would make an open one be forgotten.
+func (s *State) IntentsFull() bool {
+	if len(s.intents) < intentLimit {
+		return false
+	}
+	oldest := s.intents[s.intentOrder[0].key]
+	return oldest.Offset == s.intentOrder[0].offset && !oldest.Closed
+}
