--- a/internal/core/fleet/table.go
+++ b/internal/core/fleet/table.go
@@ -24,7 +24,8 @@
 type Row struct {
 	// Member is never changed after it was stored.
 	Member *inner.Member
-	// Home is the name of the entry that heard the agent itself.
+	// Home is the name of the entry that heard the agent itself; empty after
+	// that entry restarted without it.
 	Home string
 	// Lost means that the agent is silent; its tasks may still run.
 	Lost bool
@@ -148,6 +149,9 @@
 			continue
 		}
 		since, gone := lostEntry(row.Home)
+		if row.Home == "" {
+			since, gone = row.Heard, true
+		}
 		if gone && now-max(since, row.Heard) > orphanAfter {
 			lost = append(lost, name)
 		}
@@ -159,6 +163,21 @@
 	return lost
 }
 
+// Orphan takes the home of the rows that the entry home does not list any more,
+// because it was restarted. An agent that is alive announces itself again;
+// another one expires.
+func (t *Table) Orphan(now time.Duration, home string, listed map[string]bool) {
+	for name, old := range t.rows {
+		if old.Home != home || listed[name] {
+			continue
+		}
+		row := *old
+		row.Home = ""
+		row.Heard = now
+		t.rows[name] = &row
+	}
+}
+
 // Lose marks an agent as lost.
 func (t *Table) Lose(now time.Duration, name string) {
 	old, ok := t.rows[name]
--- /dev/null
+++ b/internal/node/dials/pool.go
@@ -0,0 +1,254 @@
+package dials
+
+import (
+	"context"
+	"crypto/tls"
+	"sync"
+	"time"
+
+	"github.com/rcrowley/go-metrics"
+	"github.com/zeebo/errs"
+	"google.golang.org/grpc"
+	"google.golang.org/grpc/backoff"
+	"google.golang.org/grpc/connectivity"
+	"google.golang.org/grpc/credentials"
+	"google.golang.org/grpc/credentials/insecure"
+
+	"github.com/chestnutpond/chestnutpond"
+)
+
+// Error is the class of this package's errors.
+var Error = errs.Class("dials")
+
+const (
+	// probeEvery is the interval of probes on a connection with calls.
+	probeEvery = time.Second
+	// silentAfter is how long a probe may go unanswered. Together with
+	// probeEvery it bounds how long a silent connection holds up its calls.
+	silentAfter = time.Second
+	// idleAfter is how long an unused connection is kept.
+	idleAfter = 10 * time.Minute
+	// dialFirst and dialMax bound the pause between tries to connect, and
+	// dialTimeout one try.
+	dialFirst   = 50 * time.Millisecond
+	dialMax     = time.Second
+	dialTimeout = time.Second
+	// maxMessage bounds a message, in bytes.
+	maxMessage = 64 << 20
+)
+
+// Config makes a Pool.
+type Config struct {
+	// TLS is nil for plaintext.
+	TLS *tls.Config
+	// Probe asks the process behind a connection for a sign of life.
+	Probe   func(ctx context.Context, conn grpc.ClientConnInterface) error
+	Events  chestnutpond.EventSink
+	Metrics metrics.Registry
+}
+
+// Pool holds one connection for each address.
+type Pool struct {
+	cfg Config
+
+	// mu guards conns; it is taken before a Conn's mu, never after.
+	mu    sync.Mutex
+	conns map[string]*Conn
+}
+
+// Conn is one connection and the calls on it.
+type Conn struct {
+	client  *grpc.ClientConn
+	address string
+
+	mu sync.Mutex
+	// calls is the number of calls outstanding.
+	calls int
+	// used is when the last call began or ended.
+	used time.Time
+	// closed means that the connection was replaced.
+	closed bool
+}
+
+// New returns a pool without connections.
+func New(cfg Config) *Pool {
+	return &Pool{cfg: cfg, conns: make(map[string]*Conn)}
+}
+
+// Get returns a connection to address for one call. The caller calls the
+// returned function when the call is over.
+func (p *Pool) Get(address string) (grpc.ClientConnInterface, func(), error) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	c, ok := p.conns[address]
+	if !ok {
+		client, err := grpc.NewClient("passthrough:///"+address, p.options()...)
+		if err != nil {
+			return nil, nil, Error.Wrap(err)
+		}
+		c = &Conn{client: client, address: address}
+		p.conns[address] = c
+	}
+	c.begin()
+	return c.client, c.end, nil
+}
+
+// Ready returns nil once the connection to address is established. After an
+// error, nothing was sent on it, so a call that was to follow provably did not
+// run.
+func (p *Pool) Ready(ctx context.Context, address string) error {
+	conn, done, err := p.Get(address)
+	if err != nil {
+		return err
+	}
+	defer done()
+	client := conn.(*grpc.ClientConn)
+	for {
+		state := client.GetState()
+		if state == connectivity.Ready {
+			return nil
+		}
+		if state == connectivity.TransientFailure || state == connectivity.Shutdown {
+			p.Replace(address)
+			return Error.New("connection to %s is in state %s", address, state)
+		}
+		client.Connect()
+		if !client.WaitForStateChange(ctx, state) {
+			return Error.Wrap(ctx.Err())
+		}
+	}
+}
+
+func (p *Pool) options() []grpc.DialOption {
+	creds := insecure.NewCredentials()
+	if p.cfg.TLS != nil {
+		creds = credentials.NewTLS(p.cfg.TLS)
+	}
+	return []grpc.DialOption{
+		grpc.WithTransportCredentials(creds),
+		grpc.WithDisableServiceConfig(),
+		grpc.WithDisableRetry(),
+		grpc.WithConnectParams(grpc.ConnectParams{
+			Backoff:           backoff.Config{BaseDelay: dialFirst, Multiplier: 2, Jitter: 0.2, MaxDelay: dialMax},
+			MinConnectTimeout: dialTimeout,
+		}),
+		grpc.WithDefaultCallOptions(grpc.MaxCallRecvMsgSize(maxMessage), grpc.MaxCallSendMsgSize(maxMessage)),
+	}
+}
+
+// Run probes the connections until ctx ends, then closes them all.
+func (p *Pool) Run(ctx context.Context) error {
+	ticker := time.NewTicker(probeEvery)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			p.closeAll()
+			return nil
+		case <-ticker.C:
+		}
+		for _, c := range p.list() {
+			p.check(ctx, c)
+		}
+	}
+}
+
+func (p *Pool) list() []*Conn {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	list := make([]*Conn, 0, len(p.conns))
+	for _, c := range p.conns {
+		list = append(list, c)
+	}
+	return list
+}
+
+// check probes a connection that has calls, and drops one that has been idle.
+func (p *Pool) check(ctx context.Context, c *Conn) {
+	calls, used := c.load()
+	if calls == 0 {
+		if time.Since(used) > idleAfter {
+			p.drop(c)
+		}
+		return
+	}
+	if time.Since(used) < probeEvery || p.cfg.Probe == nil {
+		return
+	}
+	probe := &probe{pool: p, conn: c}
+	go probe.run(ctx)
+}
+
+// Replace closes the connection to address, so that the next call gets a new
+// one.
+func (p *Pool) Replace(address string) {
+	p.mu.Lock()
+	c, ok := p.conns[address]
+	p.mu.Unlock()
+	if ok {
+		p.drop(c)
+	}
+}
+
+func (p *Pool) drop(c *Conn) {
+	p.mu.Lock()
+	if p.conns[c.address] == c {
+		delete(p.conns, c.address)
+	}
+	p.mu.Unlock()
+	if c.close() {
+		_ = c.client.Close()
+	}
+}
+
+func (p *Pool) closeAll() {
+	for _, c := range p.list() {
+		p.drop(c)
+	}
+}
+
+func (c *Conn) begin() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.calls++
+	c.used = time.Now()
+}
+
+func (c *Conn) end() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.calls--
+	c.used = time.Now()
+}
+
+func (c *Conn) load() (int, time.Time) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.calls, c.used
+}
+
+func (c *Conn) close() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	first := !c.closed
+	c.closed = true
+	return first
+}
+
+// probe is one sign of life asked of a connection.
+type probe struct {
+	pool *Pool
+	conn *Conn
+}
+
+func (r *probe) run(ctx context.Context) {
+	pctx, cancel := context.WithTimeout(ctx, silentAfter)
+	defer cancel()
+	err := r.pool.cfg.Probe(pctx, r.conn.client)
+	if err == nil || ctx.Err() != nil || pctx.Err() == nil {
+		return
+	}
+	r.pool.cfg.Events.Add(chestnutpond.Event{Kind: chestnutpond.EventConnReplaced, Upstream: r.conn.address})
+	metrics.GetOrRegisterMeter("connections_replaced", r.pool.cfg.Metrics).Mark(1)
+	r.pool.drop(r.conn)
+}
--- /dev/null
+++ b/internal/node/peers/group.go
@@ -0,0 +1,243 @@
+package peers
+
+import (
+	"context"
+	"log/slog"
+	"sync"
+	"time"
+
+	"google.golang.org/grpc"
+
+	"github.com/chestnutpond/chestnutpond"
+	"github.com/chestnutpond/chestnutpond/internal/core/fleet"
+	"github.com/chestnutpond/chestnutpond/internal/core/ledger"
+	"github.com/chestnutpond/chestnutpond/internal/node/tail"
+	"github.com/chestnutpond/chestnutpond/internal/wire/inner"
+)
+
+const (
+	// peerLost is the silence after which an entry counts as lost.
+	peerLost = 3 * time.Second
+	// exchangeWait is how long an exchange waits for a change.
+	exchangeWait = time.Second
+	// exchangeTimeout bounds one exchange, so that a silent connection is left
+	// before its peer counts as lost.
+	exchangeTimeout = exchangeWait + time.Second
+	exchangeRetry   = 300 * time.Millisecond
+	expireEvery     = 200 * time.Millisecond
+	// forgetAfter is how long a lost agent stays in the table.
+	forgetAfter = 2 * time.Hour
+	// addressLimit bounds the known addresses of entries.
+	addressLimit = 256
+)
+
+// Dialer gives connections to other processes.
+type Dialer interface {
+	// Get returns a connection for one call and the function that ends the call.
+	Get(address string) (grpc.ClientConnInterface, func(), error)
+	// Replace closes the connection to address.
+	Replace(address string)
+}
+
+// Listener hears about changed rows. Calls hold no lock of the group and come
+// from many goroutines.
+type Listener interface {
+	// AgentChanged is called with the newest row of an agent.
+	AgentChanged(row fleet.Row)
+	// AgentForgotten is called when an agent left the table.
+	AgentForgotten(name string)
+}
+
+// Config makes a Group.
+type Config struct {
+	// Self is this entry as the others see it.
+	Self fleet.Peer
+	// Entries are inner addresses of entries known from the settings.
+	Entries []string
+	// Service names the service whose document agents get.
+	Service  string
+	Dialer   Dialer
+	Tail     *tail.Tail
+	Listener Listener
+	Events   chestnutpond.EventSink
+	Logger   *slog.Logger
+}
+
+// Group is the membership of one entry.
+type Group struct {
+	cfg   Config
+	start time.Time
+
+	// mu guards the fields below. No other lock is taken under it.
+	mu    sync.Mutex
+	table *fleet.Table
+	peers *fleet.Peers
+	// changed is closed and replaced when a row homed here changes.
+	changed chan struct{}
+	// pollers are the running exchanges, by address.
+	pollers map[string]*poller
+	// notices are the channels of the Announce streams, signalled when the
+	// stream has something to send.
+	notices  map[*session]struct{}
+	draining bool
+}
+
+// New returns a group that knows only itself.
+func New(cfg Config) *Group {
+	return &Group{
+		cfg:     cfg,
+		start:   time.Now(),
+		table:   fleet.New(fleet.Config{Self: cfg.Self.Name}),
+		peers:   fleet.NewPeers(fleet.PeersConfig{Self: cfg.Self, LostAfter: peerLost}),
+		changed: make(chan struct{}),
+		pollers: make(map[string]*poller),
+		notices: make(map[*session]struct{}),
+	}
+}
+
+// Now returns the group's monotonic time.
+func (g *Group) Now() time.Duration { return time.Since(g.start) }
+
+// Run polls the other entries and expires silent agents until ctx ends.
+func (g *Group) Run(ctx context.Context) error {
+	for _, address := range g.cfg.Entries {
+		g.follow(ctx, address)
+	}
+	ticker := time.NewTicker(expireEvery)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-ticker.C:
+			g.expire()
+		}
+	}
+}
+
+// Rows returns all rows, by agent name.
+func (g *Group) Rows() []fleet.Row {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.table.Rows()
+}
+
+// Row returns the row of an agent.
+func (g *Group) Row(name string) (fleet.Row, bool) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.table.Get(name)
+}
+
+// Peers returns the other entries, by name.
+func (g *Group) Peers() []fleet.Peer {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.peers.All()
+}
+
+// Peer returns another entry.
+func (g *Group) Peer(name string) (fleet.Peer, bool) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.peers.Get(name)
+}
+
+// Rank returns this entry's place in the order of claims for a region.
+func (g *Group) Rank(region string) int {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.peers.Rank(region)
+}
+
+// Drain makes the agents look for another home.
+func (g *Group) Drain() {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.draining = true
+	g.noticeAll()
+}
+
+// LogChanged tells the agents' streams that the fold moved.
+func (g *Group) LogChanged(ledger.Change) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.noticeAll()
+}
+
+// noticeAll wakes the Announce streams. The caller holds mu.
+func (g *Group) noticeAll() {
+	for s := range g.notices {
+		s.notice()
+	}
+}
+
+func (g *Group) expire() {
+	now := g.Now()
+	g.mu.Lock()
+	lostPeers := g.peers.Expire(now)
+	lost := g.table.Expire(now, g.peers.LostSince)
+	rows := g.rowsOf(lost)
+	forgotten := g.table.Forget(now, forgetAfter)
+	if len(lost) > 0 {
+		g.bump()
+	}
+	g.mu.Unlock()
+	for _, name := range lostPeers {
+		g.cfg.Logger.Warn("peers: entry lost", "entry", name)
+	}
+	for _, row := range rows {
+		g.noteLost(row.Member.GetName())
+		g.cfg.Listener.AgentChanged(row)
+	}
+	for _, name := range forgotten {
+		g.cfg.Listener.AgentForgotten(name)
+	}
+}
+
+func (g *Group) noteLost(name string) {
+	g.cfg.Events.Add(chestnutpond.Event{Kind: chestnutpond.EventLostUpstream, Upstream: name})
+	g.cfg.Logger.Warn("peers: agent lost", "agent", name)
+}
+
+// rowsOf returns the rows of the named agents. The caller holds mu.
+func (g *Group) rowsOf(names []string) []fleet.Row {
+	rows := make([]fleet.Row, 0, len(names))
+	for _, name := range names {
+		if row, ok := g.table.Get(name); ok {
+			rows = append(rows, row)
+		}
+	}
+	return rows
+}
+
+// bump wakes the exchanges that wait for a change. The caller holds mu.
+func (g *Group) bump() {
+	close(g.changed)
+	g.changed = make(chan struct{})
+}
+
+func (g *Group) addresses() []string {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	list := []string{g.cfg.Self.Address}
+	for _, p := range g.peers.All() {
+		if !p.Lost {
+			list = append(list, p.Address)
+		}
+	}
+	return list
+}
+
+func peerMessage(p fleet.Peer) *inner.Peer {
+	return &inner.Peer{
+		Name: p.Name, Incarnation: p.Incarnation, Address: p.Address, Region: p.Region, Zone: p.Zone,
+	}
+}
+
+func peerOf(m *inner.Peer) fleet.Peer {
+	return fleet.Peer{
+		Name: m.GetName(), Incarnation: m.GetIncarnation(), Address: m.GetAddress(),
+		Region: m.GetRegion(), Zone: m.GetZone(),
+	}
+}
--- /dev/null
+++ b/internal/node/peers/home.go
@@ -0,0 +1,234 @@
+package peers
+
+import (
+	"fmt"
+
+	"google.golang.org/grpc"
+	"google.golang.org/grpc/codes"
+	"google.golang.org/grpc/status"
+	"google.golang.org/protobuf/types/known/durationpb"
+
+	"github.com/chestnutpond/chestnutpond"
+	"github.com/chestnutpond/chestnutpond/internal/core/fleet"
+	"github.com/chestnutpond/chestnutpond/internal/core/ledger"
+	"github.com/chestnutpond/chestnutpond/internal/wire/inner"
+)
+
+// session is one Announce stream of an agent.
+type session struct {
+	group  *Group
+	stream grpc.BidiStreamingServer[inner.AnnounceRequest, inner.AnnounceReply]
+	// signal holds one element while the stream has something to send.
+	signal chan struct{}
+	// received gets the agent's messages; it is closed when the stream ends.
+	received chan *inner.AnnounceRequest
+
+	// The fields below belong to the goroutine of serve.
+
+	name string
+	// version is the document version in force at the agent.
+	version int64
+	// sentVersion is the version of the last document sent on this stream.
+	sentVersion int64
+}
+
+// Announce serves one agent until its stream ends.
+func (g *Group) Announce(stream grpc.BidiStreamingServer[inner.AnnounceRequest, inner.AnnounceReply]) error {
+	s := &session{
+		group: g, stream: stream, signal: make(chan struct{}, 1),
+		received: make(chan *inner.AnnounceRequest),
+	}
+	g.mu.Lock()
+	g.notices[s] = struct{}{}
+	g.mu.Unlock()
+	defer s.close()
+	go s.run()
+	return s.serve()
+}
+
+// run receives until the stream ends. serve ends the stream when it returns.
+func (s *session) run() {
+	defer close(s.received)
+	for {
+		req, err := s.stream.Recv()
+		if err != nil {
+			return
+		}
+		select {
+		case s.received <- req:
+		case <-s.stream.Context().Done():
+			return
+		}
+	}
+}
+
+func (s *session) serve() error {
+	for {
+		select {
+		case req, ok := <-s.received:
+			if !ok {
+				return nil
+			}
+			if !s.hear(req) {
+				return status.Error(codes.InvalidArgument, "the first message must carry the member row")
+			}
+		case <-s.signal:
+		}
+		if s.group.isDraining() {
+			return status.Error(codes.Unavailable, "entry is draining")
+		}
+		if err := s.send(); err != nil {
+			return err
+		}
+	}
+}
+
+func (g *Group) isDraining() bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.draining
+}
+
+// hear takes in one message. It reports whether the agent is known.
+func (s *session) hear(req *inner.AnnounceRequest) bool {
+	s.version = max(s.version, req.GetConfigVersion())
+	m := req.GetMember()
+	if m == nil {
+		if s.name == "" {
+			return false
+		}
+		s.group.heartbeat(s.name)
+		return true
+	}
+	s.name = m.GetName()
+	s.group.hear(m)
+	return true
+}
+
+func (g *Group) heartbeat(name string) {
+	now := g.Now()
+	g.mu.Lock()
+	row, ok := g.table.Get(name)
+	revived := ok && row.Lost
+	if revived {
+		g.table.Hear(now, row.Member)
+		row, _ = g.table.Get(name)
+		g.bump()
+	}
+	g.table.Heartbeat(now, name)
+	g.mu.Unlock()
+	if revived {
+		g.cfg.Listener.AgentChanged(row)
+	}
+}
+
+func (g *Group) hear(m *inner.Member) {
+	now := g.Now()
+	g.mu.Lock()
+	old, known := g.table.Get(m.GetName())
+	news := g.table.Hear(now, m)
+	row, _ := g.table.Get(m.GetName())
+	if news {
+		g.bump()
+	}
+	g.mu.Unlock()
+	if !news {
+		return
+	}
+	g.noteHeard(old, known, m)
+	g.cfg.Listener.AgentChanged(row)
+}
+
+func (g *Group) noteHeard(old fleet.Row, known bool, m *inner.Member) {
+	if !known || old.Member.GetIncarnation() < m.GetIncarnation() {
+		detail := fmt.Sprintf("incarnation %d", m.GetIncarnation())
+		g.cfg.Events.Add(chestnutpond.Event{Kind: chestnutpond.EventJoined, Upstream: m.GetName(), Detail: detail})
+	}
+	if m.GetDraining() && (!known || !old.Member.GetDraining()) {
+		g.cfg.Events.Add(chestnutpond.Event{Kind: chestnutpond.EventLeaving, Upstream: m.GetName()})
+	}
+}
+
+// send answers with what the agent must know. An agent that did not announce
+// its row yet gets nothing.
+func (s *session) send() error {
+	if s.name == "" {
+		return nil
+	}
+	return s.stream.Send(s.reply())
+}
+
+func (s *session) reply() *inner.AnnounceReply {
+	g := s.group
+	g.mu.Lock()
+	interval := g.table.Interval()
+	row, known := g.table.Get(s.name)
+	g.mu.Unlock()
+	reply := &inner.AnnounceReply{
+		Heartbeat: durationpb.New(interval),
+		Entries:   g.addresses(),
+		Service:   g.cfg.Service,
+	}
+	g.cfg.Tail.View(func(st *ledger.State) {
+		s.addConfig(reply, st)
+		if known {
+			reply.Release = endedTasks(row.Member, st)
+		}
+	})
+	return reply
+}
+
+func (s *session) addConfig(reply *inner.AnnounceReply, st *ledger.State) {
+	config, ok := st.Config(s.group.cfg.Service)
+	if !ok {
+		return
+	}
+	reply.ConfigVersion = config.Version
+	if config.Version > s.version && config.Version > s.sentVersion {
+		reply.Document = config.Document
+		s.sentVersion = config.Version
+	}
+}
+
+// endedTasks returns the ids of the ended tasks of an agent whose end the log
+// knows, so that the agent may forget them.
+func endedTasks(m *inner.Member, st *ledger.State) []string {
+	var ids []string
+	for _, t := range m.GetTasks() {
+		if !ended(t.GetState()) {
+			continue
+		}
+		job, ok := st.Job(chestnutpond.JobID(t.GetJob()))
+		current := ok && job.Attempt == t.GetAttempt()
+		open := current && !job.State.Final() && job.State != chestnutpond.JobQueued
+		// A task of an attempt that the fold has not reached yet is kept.
+		ahead := ok && t.GetAttempt() > job.Attempt
+		if !open && !ahead {
+			ids = append(ids, fmt.Sprintf("%s.%d.%d", t.GetJob(), t.GetAttempt(), t.GetMember()))
+		}
+	}
+	return ids
+}
+
+func ended(s inner.TaskState) bool {
+	switch s {
+	case inner.TaskState_TASK_STATE_STOPPED, inner.TaskState_TASK_STATE_COMPLETED, inner.TaskState_TASK_STATE_FAILED:
+		return true
+	}
+	return false
+}
+
+// notice tells the stream that there may be something to send. It never blocks.
+func (s *session) notice() {
+	select {
+	case s.signal <- struct{}{}:
+	default:
+	}
+}
+
+func (s *session) close() {
+	g := s.group
+	g.mu.Lock()
+	delete(g.notices, s)
+	g.mu.Unlock()
+}
--- /dev/null
+++ b/internal/node/peers/poll.go
@@ -0,0 +1,157 @@
+package peers
+
+import (
+	"context"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+	"google.golang.org/protobuf/types/known/durationpb"
+
+	"github.com/chestnutpond/chestnutpond/internal/core/fleet"
+	"github.com/chestnutpond/chestnutpond/internal/wire/inner"
+)
+
+// poller follows the rows homed at one other entry.
+type poller struct {
+	group   *Group
+	address string
+	since   int64
+	table   int64
+}
+
+// follow starts a poller for an address that has none.
+func (g *Group) follow(ctx context.Context, address string) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if address == "" || address == g.cfg.Self.Address || len(g.pollers) >= addressLimit {
+		return
+	}
+	if _, running := g.pollers[address]; running {
+		return
+	}
+	p := &poller{group: g, address: address}
+	g.pollers[address] = p
+	go p.run(ctx)
+}
+
+func (p *poller) run(ctx context.Context) {
+	for ctx.Err() == nil {
+		if p.exchange(ctx) {
+			continue
+		}
+		timer := time.NewTimer(exchangeRetry)
+		select {
+		case <-ctx.Done():
+		case <-timer.C:
+		}
+		timer.Stop()
+	}
+}
+
+// exchange asks once and reports whether the peer answered.
+func (p *poller) exchange(ctx context.Context) bool {
+	conn, done, err := p.group.cfg.Dialer.Get(p.address)
+	if err != nil {
+		return false
+	}
+	defer done()
+	ectx, cancel := context.WithTimeout(ctx, exchangeTimeout)
+	defer cancel()
+	reply, err := inner.NewEntryClient(conn).Exchange(ectx, &inner.ExchangeRequest{
+		From: peerMessage(p.group.cfg.Self), Since: p.since, Table: p.table, Wait: durationpb.New(exchangeWait),
+	})
+	if err != nil {
+		if ectx.Err() != nil && ctx.Err() == nil {
+			p.group.cfg.Dialer.Replace(p.address)
+		}
+		return false
+	}
+	restarted := p.table != reply.GetTable()
+	p.since = reply.GetNext()
+	p.table = reply.GetTable()
+	p.group.learn(ctx, reply, restarted)
+	return true
+}
+
+// learn takes in the answer of another entry. When whole is set, the answer
+// lists all rows of that entry.
+func (g *Group) learn(ctx context.Context, reply *inner.ExchangeReply, whole bool) {
+	now := g.Now()
+	from := peerOf(reply.GetFrom())
+	var changed []fleet.Row
+	g.mu.Lock()
+	g.peers.Heard(now, from)
+	listed := make(map[string]bool, len(reply.GetMembers()))
+	for _, m := range reply.GetMembers() {
+		listed[m.GetName()] = true
+		if !g.table.Learn(now, m, from.Name) {
+			continue
+		}
+		row, _ := g.table.Get(m.GetName())
+		changed = append(changed, row)
+	}
+	if whole {
+		g.table.Orphan(now, from.Name, listed)
+	}
+	g.mu.Unlock()
+	for _, row := range changed {
+		g.cfg.Listener.AgentChanged(row)
+	}
+	for _, peer := range reply.GetPeers() {
+		g.follow(ctx, peer.GetAddress())
+	}
+}
+
+// Exchange serves the pollers of other entries.
+func (g *Group) Exchange(ctx context.Context, req *inner.ExchangeRequest) (*inner.ExchangeReply, error) {
+	since := req.GetSince()
+	if req.GetTable() != g.cfg.Self.Incarnation {
+		since = 0
+	}
+	g.mu.Lock()
+	changed := g.changed
+	waiting := since >= g.table.Index() && req.GetTable() == g.cfg.Self.Incarnation
+	g.mu.Unlock()
+	if waiting {
+		wait(ctx, changed, req.GetWait().AsDuration())
+	}
+	return g.exchangeReply(since), nil
+}
+
+func (g *Group) exchangeReply(since int64) *inner.ExchangeReply {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	rows, next := g.table.Since(since)
+	reply := &inner.ExchangeReply{
+		From: peerMessage(g.cfg.Self), Next: next, Table: g.cfg.Self.Incarnation,
+	}
+	for _, row := range rows {
+		reply.Members = append(reply.Members, rowMessage(row))
+	}
+	for _, p := range g.peers.All() {
+		if !p.Lost {
+			reply.Peers = append(reply.Peers, peerMessage(p))
+		}
+	}
+	return reply
+}
+
+// rowMessage returns the member of a row with its loss.
+func rowMessage(row fleet.Row) *inner.Member {
+	if row.Member.GetLost() == row.Lost {
+		return row.Member
+	}
+	m := proto.Clone(row.Member).(*inner.Member)
+	m.Lost = row.Lost
+	return m
+}
+
+func wait(ctx context.Context, changed <-chan struct{}, d time.Duration) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-changed:
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+}
