--- /dev/null
+++ b/internal/core/admit/bound.go
@@ -0,0 +1,271 @@
+package admit
+
+import (
+	"time"
+
+	"github.com/chestnutpond/chestnutpond"
+)
+
+func (q *Queue) callerLimit(a *account) int {
+	return max(int(float64(a.limit)*q.cfg.CallerShare), 1)
+}
+
+// room returns the flows that each have to give up their newest request before
+// one more of the caller fits, and false if there is no room for it.
+func (q *Queue) room(a *account, l *lane, c *caller) ([]*flow, bool) {
+	var victims []*flow
+	if a.n >= a.limit {
+		f := a.longest.top()
+		if !over(f, l, c) {
+			return nil, false
+		}
+		victims = append(victims, f)
+	}
+	if l.n >= q.cfg.KindLimit && (len(victims) == 0 || victims[0].share.lane != l) {
+		f := l.longest.top()
+		if !over(f, l, c) {
+			return nil, false
+		}
+		victims = append(victims, f)
+	}
+	if len(victims) == 0 && q.Len() >= q.cfg.Limit {
+		if q.n == 0 {
+			return nil, false
+		}
+		b := q.big.top()
+		f := b.longest.top()
+		if b == a && !over(f, l, c) || b != a && float64(b.n-1)/b.weight <= float64(a.n)/a.weight {
+			return nil, false
+		}
+		victims = append(victims, f)
+	}
+	return victims, true
+}
+
+// over reports whether the flow is longer than the caller's queue would be in
+// the lane after one more request.
+func over(f *flow, l *lane, c *caller) bool {
+	own := 0
+	if c != nil {
+		for _, o := range c.flows {
+			if o.share.lane == l {
+				own = o.n
+			}
+		}
+	}
+	return f.n > own+1
+}
+
+// attach puts a request into its flow, at the front if it was there before.
+func (q *Queue) attach(now time.Duration, w *waiter, front bool) {
+	f := w.flow
+	s, c := f.share, f.caller
+	a, l := s.account, s.lane
+	q.catchUp(s, c)
+	q.unidle(c)
+	if s.n == 0 {
+		s.busySince = now
+	}
+	if front {
+		f.pushFront(w)
+	} else {
+		f.pushBack(w)
+	}
+	s.n++
+	l.n++
+	a.n++
+	q.n++
+	c.waiting++
+	if f.n == 1 {
+		s.flows.push(f)
+		l.longest.push(f)
+		a.longest.push(f)
+	} else {
+		s.flows.fix(f)
+		l.longest.fix(f)
+		a.longest.fix(f)
+	}
+	if s.n == 1 {
+		l.shares.push(s)
+	}
+	if a.n == 1 {
+		q.big.push(a)
+	} else {
+		q.big.fix(a)
+	}
+	for _, o := range a.shares {
+		o.lane.shares.fix(o)
+	}
+	for _, o := range c.flows {
+		o.share.flows.fix(o)
+	}
+	if w.giveUp >= 0 {
+		q.deadline.push(w)
+	}
+}
+
+// detach takes a waiting request out of its flow.
+func (q *Queue) detach(w *waiter) {
+	f := w.flow
+	s, c := f.share, f.caller
+	a, l := s.account, s.lane
+	f.unlink(w)
+	s.n--
+	l.n--
+	a.n--
+	q.n--
+	c.waiting--
+	if f.n == 0 {
+		s.flows.remove(f)
+		l.longest.remove(f)
+		a.longest.remove(f)
+	} else {
+		s.flows.fix(f)
+		l.longest.fix(f)
+		a.longest.fix(f)
+	}
+	if s.n == 0 {
+		l.shares.remove(s)
+	}
+	if a.n == 0 {
+		q.big.remove(a)
+	} else {
+		q.big.fix(a)
+	}
+	q.deadline.remove(w)
+}
+
+// forget drops a request that neither waits nor runs any more.
+func (q *Queue) forget(w *waiter) {
+	delete(q.items, w.item.ID)
+	c := w.flow.caller
+	if w.flow.n == 0 {
+		c.drop(w.flow)
+	}
+	if c.waiting > 0 || c.running > 0 || c.idle {
+		return
+	}
+	c.idle = true
+	c.idlePrev = q.idleLast
+	if q.idleLast != nil {
+		q.idleLast.idleNext = c
+	} else {
+		q.idleFirst = c
+	}
+	q.idleLast = c
+	for q.known > q.cfg.CallerLimit && q.idleFirst != nil {
+		q.dropCaller(q.idleFirst)
+	}
+	q.dropAccount(c.account)
+}
+
+func (q *Queue) addCaller(a *account, name string) *caller {
+	c := &caller{name: name, account: a}
+	a.callers[name] = c
+	q.known++
+	return c
+}
+
+func (q *Queue) dropCaller(c *caller) {
+	q.unidle(c)
+	delete(c.account.callers, c.name)
+	q.known--
+}
+
+func (q *Queue) unidle(c *caller) {
+	if !c.idle {
+		return
+	}
+	if c.idlePrev != nil {
+		c.idlePrev.idleNext = c.idleNext
+	} else {
+		q.idleFirst = c.idleNext
+	}
+	if c.idleNext != nil {
+		c.idleNext.idlePrev = c.idlePrev
+	} else {
+		q.idleLast = c.idlePrev
+	}
+	c.idlePrev, c.idleNext, c.idle = nil, nil, false
+}
+
+// dropAccount forgets an account that is not in the document any more and has
+// nothing left.
+func (q *Queue) dropAccount(a *account) {
+	if a.limit > 0 || a.n > 0 {
+		return
+	}
+	for _, c := range a.callers {
+		if !c.idle {
+			return
+		}
+	}
+	for _, c := range a.callers {
+		q.dropCaller(c)
+	}
+	if q.accounts[a.name] == a {
+		delete(q.accounts, a.name)
+	}
+}
+
+// lane returns the lane of the kind. A class that is not one of the three counts
+// as bulk, which bounds the number of lanes.
+func (q *Queue) lane(kind string, class chestnutpond.Class) *lane {
+	if class.Rank() > chestnutpond.ClassBulk.Rank() {
+		class = chestnutpond.ClassBulk
+	}
+	for _, l := range q.lanes {
+		if l.kind == kind && l.class == class {
+			return l
+		}
+	}
+	lead := 0.0
+	switch class {
+	case chestnutpond.ClassUrgent:
+		lead = q.cfg.UrgentLead
+	case chestnutpond.ClassStandard:
+		lead = q.cfg.StandardLead
+	}
+	l := newLane(kind, class, q.mean, lead)
+	q.lanes = append(q.lanes, l)
+	return l
+}
+
+func (a *account) share(l *lane) *share {
+	for _, s := range a.shares {
+		if s.lane == l {
+			return s
+		}
+	}
+	s := newShare(a, l)
+	a.shares = append(a.shares, s)
+	return s
+}
+
+func (c *caller) find(s *share) *flow {
+	for _, f := range c.flows {
+		if f.share == s {
+			return f
+		}
+	}
+	return nil
+}
+
+// flow returns the caller's flow in the share and makes one if there is none.
+func (c *caller) flow(s *share, seq uint64) *flow {
+	if f := c.find(s); f != nil {
+		return f
+	}
+	f := &flow{share: s, caller: c, seq: seq, flowAt: -1, laneLongAt: -1, accountLongAt: -1}
+	c.flows = append(c.flows, f)
+	return f
+}
+
+func (c *caller) drop(f *flow) {
+	for i, o := range c.flows {
+		if o == f {
+			c.flows = append(c.flows[:i], c.flows[i+1:]...)
+			return
+		}
+	}
+}
--- /dev/null
+++ b/internal/core/admit/config.go
@@ -0,0 +1,71 @@
+package admit
+
+import "time"
+
+// Config holds the tunables of a Queue. A zero field takes its default.
+type Config struct {
+	// Limit bounds the requests waiting in the whole queue; 4,096 by default.
+	Limit int
+	// KindLimit bounds the requests waiting of one kind in one class; 1,024 by
+	// default.
+	KindLimit int
+	// AccountLimit applies to accounts whose document states no queue limit;
+	// 200 by default.
+	AccountLimit int
+	// CallerShare is the part of its account's queue limit that one caller may
+	// fill, 0 to 1; a quarter by default.
+	CallerShare float64
+	// CallerLimit bounds the callers whose past service is remembered; 16,384
+	// by default. Callers with waiting or running requests are always kept.
+	CallerLimit int
+	// UrgentLead and StandardLead are how far, in requests of average length, an
+	// account may be served ahead of its share for these classes; 8 and 3 by
+	// default. Bulk has no lead.
+	UrgentLead   float64
+	StandardLead float64
+	// Credit is how far, in requests of average length, a group that was idle
+	// may lag behind the others when it comes back; 8 by default.
+	Credit float64
+	// ServiceGuess is the service time assumed for a kind before its first
+	// answer; 500 ms by default.
+	ServiceGuess time.Duration
+	// RetryMin and RetryMax bound Verdict.RetryAfter; 1 s and 30 s by default.
+	RetryMin time.Duration
+	RetryMax time.Duration
+}
+
+func orInt(v, def int) int {
+	if v <= 0 {
+		return def
+	}
+	return v
+}
+
+func orFloat(v, def float64) float64 {
+	if v <= 0 {
+		return def
+	}
+	return v
+}
+
+func orTime(v, def time.Duration) time.Duration {
+	if v <= 0 {
+		return def
+	}
+	return v
+}
+
+func (c Config) withDefaults() Config {
+	c.Limit = orInt(c.Limit, 4096)
+	c.KindLimit = orInt(c.KindLimit, 1024)
+	c.AccountLimit = orInt(c.AccountLimit, 200)
+	c.CallerShare = min(orFloat(c.CallerShare, 0.25), 1)
+	c.CallerLimit = orInt(c.CallerLimit, 16384)
+	c.UrgentLead = orFloat(c.UrgentLead, 8)
+	c.StandardLead = orFloat(c.StandardLead, 3)
+	c.Credit = orFloat(c.Credit, 8)
+	c.ServiceGuess = orTime(c.ServiceGuess, 500*time.Millisecond)
+	c.RetryMin = orTime(c.RetryMin, time.Second)
+	c.RetryMax = orTime(c.RetryMax, 30*time.Second)
+	return c
+}
--- /dev/null
+++ b/internal/core/admit/group.go
@@ -0,0 +1,189 @@
+package admit
+
+import (
+	"time"
+
+	"github.com/chestnutpond/chestnutpond"
+)
+
+// waiter is one admitted request, from Offer to Done, Remove or Expired.
+type waiter struct {
+	item Item
+	// seq orders requests by age; it is unique.
+	seq  uint64
+	at   time.Duration
+	flow *flow
+	// giveUp is when the request can no longer be answered in time; negative if
+	// it has no deadline.
+	giveUp time.Duration
+	// charged is the service in seconds that was added to the tags when the
+	// request was handed out.
+	charged float64
+	running bool
+	expired bool
+
+	prev, next *waiter
+	deadlineAt int
+}
+
+// lane is one kind in one class.
+type lane struct {
+	kind  string
+	class chestnutpond.Class
+	// mean is the moving average of the service time in seconds.
+	mean float64
+	// lead is how far ahead of its share an account may be served, in requests.
+	lead float64
+	n    int
+	// shares holds the accounts with requests waiting in this lane.
+	shares heap[*share]
+	// longest has the flow with the most requests on top.
+	longest heap[*flow]
+	// servable is set by Next for the length of one call.
+	servable bool
+}
+
+// share is what one account has in one lane.
+type share struct {
+	account *account
+	lane    *lane
+	tag     float64
+	n       int
+	flows   heap[*flow]
+	shareAt int
+	// busySince is the start of the present gap between two departures, and gap
+	// the moving average of such gaps in seconds; zero means not measured.
+	busySince time.Duration
+	gap       float64
+}
+
+// flow is what one caller has in one share, in order of arrival.
+type flow struct {
+	share  *share
+	caller *caller
+	n      int
+	// seq is the sequence of the flow's creation; it breaks ties.
+	seq         uint64
+	first, last *waiter
+
+	flowAt, laneLongAt, accountLongAt int
+}
+
+// caller is one caller of an account, over all lanes.
+type caller struct {
+	name    string
+	account *account
+	tag     float64
+	flows   []*flow
+	// waiting and running count the caller's requests.
+	waiting, running int
+
+	idlePrev, idleNext *caller
+	idle               bool
+}
+
+// account is one client account.
+type account struct {
+	name string
+	// weight is relative to the average weight in the document.
+	weight float64
+	limit  int
+	tag    float64
+	// laneTag and callerTag are the virtual times of the account's lanes and
+	// callers: the greatest tag that was served.
+	laneTag, callerTag float64
+	n                  int
+	shares             []*share
+	callers            map[string]*caller
+	longest            heap[*flow]
+	bigAt              int
+	seq                uint64
+}
+
+func (f *flow) pushBack(w *waiter) {
+	w.prev, w.next = f.last, nil
+	if f.last != nil {
+		f.last.next = w
+	} else {
+		f.first = w
+	}
+	f.last = w
+	f.n++
+}
+
+func (f *flow) pushFront(w *waiter) {
+	w.prev, w.next = nil, f.first
+	if f.first != nil {
+		f.first.prev = w
+	} else {
+		f.last = w
+	}
+	f.first = w
+	f.n++
+}
+
+func (f *flow) unlink(w *waiter) {
+	if w.prev != nil {
+		w.prev.next = w.next
+	} else {
+		f.first = w.next
+	}
+	if w.next != nil {
+		w.next.prev = w.prev
+	} else {
+		f.last = w.prev
+	}
+	w.prev, w.next = nil, nil
+	f.n--
+}
+
+func newLane(kind string, class chestnutpond.Class, mean, lead float64) *lane {
+	l := &lane{kind: kind, class: class, mean: mean, lead: lead}
+	l.shares = heap[*share]{
+		less: func(a, b *share) bool {
+			if a.account.tag != b.account.tag {
+				return a.account.tag < b.account.tag
+			}
+			return a.account.seq < b.account.seq
+		},
+		at: func(s *share) *int { return &s.shareAt },
+	}
+	l.longest = heap[*flow]{less: longer, at: func(f *flow) *int { return &f.laneLongAt }}
+	return l
+}
+
+func newAccount(name string, seq uint64) *account {
+	a := &account{name: name, callers: map[string]*caller{}, bigAt: -1, seq: seq}
+	a.longest = heap[*flow]{less: longer, at: func(f *flow) *int { return &f.accountLongAt }}
+	return a
+}
+
+func newShare(a *account, l *lane) *share {
+	s := &share{account: a, lane: l, shareAt: -1}
+	s.flows = heap[*flow]{
+		less: func(a, b *flow) bool {
+			if a.caller.tag != b.caller.tag {
+				return a.caller.tag < b.caller.tag
+			}
+			return a.first.seq < b.first.seq
+		},
+		at: func(f *flow) *int { return &f.flowAt },
+	}
+	return s
+}
+
+func longer(a, b *flow) bool {
+	if a.n != b.n {
+		return a.n > b.n
+	}
+	return a.seq > b.seq
+}
+
+// heavier orders accounts by what they have waiting against their weight.
+func heavier(a, b *account) bool {
+	x, y := float64(a.n)/a.weight, float64(b.n)/b.weight
+	if x != y {
+		return x > y
+	}
+	return a.seq > b.seq
+}
--- /dev/null
+++ b/internal/core/admit/serve.go
@@ -0,0 +1,175 @@
+package admit
+
+import (
+	"time"
+
+	"github.com/chestnutpond/chestnutpond"
+)
+
+// meanStep is the weight of the newest sample in the moving averages.
+const meanStep = 0.05
+
+// Next removes the request that is to be served now and counts it as running
+// until Done. It returns false if nothing that waits can be served. A kind for
+// which canServe is false never holds back another kind.
+func (q *Queue) Next(now time.Duration, canServe func(kind string) bool) (Item, bool) {
+	q.expire(now)
+	best := q.nextAccount(canServe)
+	if best == nil {
+		return Item{}, false
+	}
+	s := q.nextShare(best)
+	w := s.flows.top().first
+	q.catchUp(s, w.flow.caller)
+	q.detach(w)
+	w.running = true
+	w.flow.caller.running++
+	q.departed(now, s)
+	w.charged = s.lane.mean
+	a, c := s.account, w.flow.caller
+	q.tag = max(q.tag, a.tag)
+	a.laneTag = max(a.laneTag, s.tag)
+	a.callerTag = max(a.callerTag, c.tag)
+	q.charge(w, w.charged)
+	return w.item, true
+}
+
+// nextAccount returns the account whose turn it is.
+func (q *Queue) nextAccount(canServe func(kind string) bool) *account {
+	var best *account
+	var bestKey float64
+	for _, l := range q.lanes {
+		l.servable = l.n > 0 && canServe(l.kind)
+		if !l.servable {
+			continue
+		}
+		a := l.shares.top().account
+		key := a.tag - l.lead*q.mean + l.mean/a.weight
+		if best == nil || key < bestKey {
+			best, bestKey = a, key
+		}
+	}
+	return best
+}
+
+// nextShare returns the lane of the account whose turn it is.
+func (q *Queue) nextShare(a *account) *share {
+	var best *share
+	var bestKey float64
+	for _, s := range a.shares {
+		if s.n == 0 || !s.lane.servable {
+			continue
+		}
+		key := s.tag - s.lane.lead*q.mean + s.lane.mean
+		if best == nil || key < bestKey {
+			best, bestKey = s, key
+		}
+	}
+	return best
+}
+
+// Done ends a running request that was served for that long. A zero time means
+// that it did not run: its share gets the service back.
+func (q *Queue) Done(_ time.Duration, id string, served time.Duration) {
+	w, ok := q.items[id]
+	if !ok || !w.running {
+		return
+	}
+	s := max(served.Seconds(), 0)
+	q.charge(w, s-w.charged)
+	if s > 0 {
+		l := w.flow.share.lane
+		l.mean += meanStep * (s - l.mean)
+		q.mean += meanStep * (s - q.mean)
+	}
+	w.running = false
+	w.flow.caller.running--
+	q.forget(w)
+}
+
+// PutBack returns a running request to the head of its queue, because it was
+// refused wherever it was sent and did not run. It returns false if the request
+// does not run.
+func (q *Queue) PutBack(now time.Duration, id string) bool {
+	w, ok := q.items[id]
+	if !ok || !w.running {
+		return false
+	}
+	q.charge(w, -w.charged)
+	w.charged = 0
+	w.running = false
+	w.flow.caller.running--
+	w.flow = w.flow.caller.flow(w.flow.share, w.flow.seq)
+	q.attach(now, w, true)
+	return true
+}
+
+// charge adds service in seconds to the tags of the request's groups.
+func (q *Queue) charge(w *waiter, service float64) {
+	s, c := w.flow.share, w.flow.caller
+	a := s.account
+	a.tag += service / a.weight
+	s.tag += service
+	c.tag += service
+	for _, o := range a.shares {
+		o.lane.shares.fix(o)
+	}
+	for _, f := range c.flows {
+		f.share.flows.fix(f)
+	}
+}
+
+// catchUp bounds how far the tags lag behind those that were served, for groups
+// that were idle or whose kinds could not be served for a time. Without the
+// bound they would take every slot until they had made up for it.
+func (q *Queue) catchUp(s *share, c *caller) {
+	a := s.account
+	credit := q.cfg.Credit * q.mean
+	a.tag = max(a.tag, q.tag-credit/a.weight)
+	s.tag = max(s.tag, a.laneTag-credit)
+	c.tag = max(c.tag, a.callerTag-credit)
+}
+
+// wait estimates how long a new request of the caller would wait. The caller is
+// nil if it has nothing waiting.
+func (q *Queue) wait(now time.Duration, s *share, c *caller) time.Duration {
+	if s.n == 0 || s.gap == 0 {
+		return 0
+	}
+	own := 0
+	if c != nil {
+		if f := c.find(s); f != nil {
+			own = f.n
+		}
+	}
+	ahead := min(s.n, (own+1)*s.flows.len())
+	gap := max(s.gap, (now-s.busySince).Seconds()/2)
+	return time.Duration(float64(ahead) * gap * float64(time.Second))
+}
+
+// departed measures the gap between two departures of a share.
+func (q *Queue) departed(now time.Duration, s *share) {
+	gap := (now - s.busySince).Seconds()
+	s.busySince = now
+	if s.gap == 0 {
+		s.gap = gap
+		return
+	}
+	s.gap += 2 * meanStep * (gap - s.gap)
+}
+
+// giveUp returns when a request can no longer be answered in time: half of the
+// kind's average service time before the deadline. The margin is at most a
+// quarter of the time that the request has, so that a kind whose average went
+// past the timeout is still tried and measured again.
+func (q *Queue) giveUp(now time.Duration, it Item, l *lane) time.Duration {
+	if it.Deadline <= 0 {
+		return -1
+	}
+	margin := time.Duration(l.mean / 2 * float64(time.Second))
+	return it.Deadline - min(margin, max(it.Deadline-now, 0)/4)
+}
+
+func (q *Queue) refuse(reason chestnutpond.Reason, wait time.Duration) Verdict {
+	return Verdict{Reason: reason, RetryAfter: min(max(wait, q.cfg.RetryMin), q.cfg.RetryMax)}
+}
