Scheduler of a region

Cause: accepted jobs must be placed, started as whole gangs and followed.

Ruled out: committing before the start is in the log (a paused holder could start an attempt that another entry starts too); treating a silent agent as a dead one (its gang may run on behind a cut).

Change: internal/node/sched claims terms, drives attempts and proves stops; the inner protocol gets RegionStatus.

Before: no scheduler.

--- a/internal/node/dials/pool.go
+++ b/internal/node/dials/pool.go
@@ -6,7 +6,6 @@
 	"sync"
 	"time"
 
-	"github.com/rcrowley/go-metrics"
 	"github.com/zeebo/errs"
 	"google.golang.org/grpc"
 	"google.golang.org/grpc/backoff"
@@ -15,6 +14,7 @@
 	"google.golang.org/grpc/credentials/insecure"
 
 	"github.com/chestnutpond/chestnutpond"
+	"github.com/chestnutpond/chestnutpond/internal/obs/stats"
 )
 
 // Error is the class of this package's errors.
@@ -44,7 +44,7 @@
 	// Probe asks the process behind a connection for a sign of life.
 	Probe   func(ctx context.Context, conn grpc.ClientConnInterface) error
 	Events  chestnutpond.EventSink
-	Metrics metrics.Registry
+	Metrics *stats.Registry
 }
 
 // Pool holds one connection for each address.
@@ -249,6 +249,6 @@
 		return
 	}
 	r.pool.cfg.Events.Add(chestnutpond.Event{Kind: chestnutpond.EventConnReplaced, Upstream: r.conn.address})
-	metrics.GetOrRegisterMeter("connections_replaced", r.pool.cfg.Metrics).Mark(1)
+	r.pool.cfg.Metrics.Counter("connections_replaced_total", "Connections closed because they went silent.").Inc(1)
 	r.pool.drop(r.conn)
 }
--- /dev/null
+++ b/internal/node/sched/inspect.go
@@ -0,0 +1,99 @@
+package sched
+
+import (
+	"time"
+
+	"github.com/chestnutpond/chestnutpond"
+	"github.com/chestnutpond/chestnutpond/internal/core/fleet"
+	"github.com/chestnutpond/chestnutpond/internal/core/place"
+	"github.com/chestnutpond/chestnutpond/internal/wire/inner"
+)
+
+const (
+	// rowGrace is how long after the commit a row may not show the task yet.
+	rowGrace = 3 * time.Second
+	// gangGone is how long after one member surely stopped all others have
+	// stopped too: hold_ttl 3 s, gang_lease 2.5 s, task_lease 2 s, margin 1.5 s.
+	gangGone = 9 * time.Second
+	// isolationLimit is how long an agent without any entry keeps its tasks.
+	isolationLimit = 20 * time.Second
+	// unreachableGone is how long after the last contact with any member a whole
+	// gang has stopped.
+	unreachableGone = isolationLimit + gangGone
+)
+
+// sight is what the rows say about an attempt.
+type sight struct {
+	running   bool
+	completed bool
+	result    string
+	failed    *place.Failure
+	// broken is why the gang cannot be whole; empty while it may be.
+	broken string
+}
+
+// inspect reads the members' rows. A silent agent alone breaks nothing: its
+// gang notices by itself when it is gone, and the rows of the others tell.
+func (a *attempt) inspect() sight {
+	members := a.region.m.cfg.Members
+	now := members.Now()
+	var s sight
+	running, completed, silent := 0, 0, 0
+	for _, p := range a.placements {
+		row, ok := members.Row(p.Worker)
+		if !ok || row.Lost {
+			silent++
+			if !ok || now-row.LostAt > unreachableGone {
+				s.broken = "worker " + p.Worker + " is gone"
+			}
+			continue
+		}
+		task, found := a.taskOf(row, p)
+		if !found {
+			a.noteMissing(&s, row, p, now)
+			continue
+		}
+		switch task.GetState() {
+		case inner.TaskState_TASK_STATE_RUNNING:
+			running++
+		case inner.TaskState_TASK_STATE_COMPLETED:
+			completed++
+			if p.Member == 0 {
+				s.result = task.GetResult()
+			}
+		case inner.TaskState_TASK_STATE_FAILED:
+			s.failed = &place.Failure{Worker: p.Worker, Blame: true, Reason: task.GetReason()}
+		case inner.TaskState_TASK_STATE_STOPPED:
+			s.broken = "stopped on " + p.Worker + ": " + task.GetReason()
+		}
+	}
+	if silent > 0 && running > 0 {
+		s.broken = ""
+	}
+	s.completed = completed == len(a.placements)
+	s.running = running+completed == len(a.placements)
+	return s
+}
+
+// taskOf finds the attempt's task in a row.
+func (a *attempt) taskOf(row fleet.Row, p chestnutpond.Placement) (*inner.Task, bool) {
+	if row.Member.GetIncarnation() != p.Incarnation {
+		return nil, false
+	}
+	for _, t := range row.Member.GetTasks() {
+		if t.GetJob() == string(a.spec.ID) && t.GetAttempt() == a.number && int(t.GetMember()) == p.Member {
+			return t, true
+		}
+	}
+	return nil, false
+}
+
+func (a *attempt) noteMissing(s *sight, row fleet.Row, p chestnutpond.Placement, now time.Duration) {
+	if row.Member.GetIncarnation() > p.Incarnation {
+		s.broken = "agent of " + p.Worker + " was restarted"
+		return
+	}
+	if now-a.since > rowGrace {
+		s.broken = "worker " + p.Worker + " does not have the task"
+	}
+}
--- /dev/null
+++ b/internal/node/sched/status.go
@@ -0,0 +1,45 @@
+package sched
+
+import (
+	"fmt"
+
+	"google.golang.org/protobuf/types/known/durationpb"
+
+	"github.com/chestnutpond/chestnutpond"
+	"github.com/chestnutpond/chestnutpond/internal/core/ledger"
+	"github.com/chestnutpond/chestnutpond/internal/wire/inner"
+)
+
+// Status answers what an entry knows of a region that it schedules.
+func (m *Manager) Status(name string) *inner.RegionStatusReply {
+	r := m.region(name)
+	if r == nil {
+		return &inner.RegionStatusReply{}
+	}
+	var queued []ledger.Job
+	m.cfg.Tail.View(func(st *ledger.State) {
+		queued = st.Jobs(func(j ledger.Job) bool {
+			return j.Spec.Region == name && j.State == chestnutpond.JobQueued
+		})
+	})
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	reply := &inner.RegionStatusReply{Scheduling: true, Term: r.term, Reasons: make(map[string]string)}
+	for _, s := range r.core.Status(m.now()) {
+		reply.Accounts = append(reply.Accounts, &inner.AccountStatus{
+			Account: s.Account, Guaranteed: int64(s.Guaranteed), Used: int64(s.Used),
+			Borrowed: int64(s.Borrowed), Waiting: int64(s.Waiting), Covered: s.Covered,
+			Debt: durationpb.New(s.Debt),
+		})
+	}
+	for _, j := range queued {
+		if reason, ok := r.core.Waiting(j.Spec.ID); ok {
+			reply.Reasons[string(j.Spec.ID)] = reason
+		}
+	}
+	return reply
+}
+
+func taskID(job string, attempt int64, member int32) chestnutpond.TaskID {
+	return chestnutpond.TaskID(fmt.Sprintf("%s.%d.%d", job, attempt, member))
+}
--- a/internal/node/serve/server.go
+++ b/internal/node/serve/server.go
@@ -7,7 +7,6 @@
 	"sync"
 	"time"
 
-	"github.com/rcrowley/go-metrics"
 	"google.golang.org/grpc"
 
 	"github.com/chestnutpond/chestnutpond"
@@ -16,6 +15,7 @@
 	"github.com/chestnutpond/chestnutpond/internal/core/ledger"
 	"github.com/chestnutpond/chestnutpond/internal/core/route"
 	"github.com/chestnutpond/chestnutpond/internal/node/tail"
+	"github.com/chestnutpond/chestnutpond/internal/obs/stats"
 )
 
 const (
@@ -55,7 +55,7 @@
 	Members Members
 	Events  chestnutpond.EventSink
 	Logger  *slog.Logger
-	Metrics metrics.Registry
+	Metrics *stats.Registry
 }
 
 // Request is one request of a caller.
@@ -249,7 +249,8 @@
 }
 
 func (s *Server) note(r Request, res Result) {
-	metrics.GetOrRegisterMeter("requests_"+string(res.Outcome), s.cfg.Metrics).Mark(1)
+	outcome := stats.Label{Name: "outcome", Value: string(res.Outcome)}
+	s.cfg.Metrics.Counter("requests_total", "Requests by outcome.", outcome).Inc(1)
 	kind := chestnutpond.EventServed
 	if res.Outcome != chestnutpond.OutcomeAnswered {
 		kind = chestnutpond.EventRefused
--- a/internal/node/tail/tail.go
+++ b/internal/node/tail/tail.go
@@ -8,10 +8,10 @@
 	"time"
 
 	"github.com/cenkalti/backoff/v5"
-	"github.com/rcrowley/go-metrics"
 
 	"github.com/chestnutpond/chestnutpond"
 	"github.com/chestnutpond/chestnutpond/internal/core/ledger"
+	"github.com/chestnutpond/chestnutpond/internal/obs/stats"
 )
 
 const (
@@ -37,7 +37,7 @@
 	Events chestnutpond.EventSink
 	Logger *slog.Logger
 	// Metrics gets the meters and gauges of this package.
-	Metrics metrics.Registry
+	Metrics *stats.Registry
 	// Sync returns the packed state of another entry. It fails when none can be
 	// reached.
 	Sync func(ctx context.Context) ([]byte, error)
