Placement core: cells, gangs, reclaim, order, health

Cause: the entry needs a deterministic core that places the jobs of a region. Ruled out: a heap of all waiting jobs, which a full fleet would force to scan for backfill; an index by worker, which best fit by rack needs to reorder on each change. Change: cells, claims, lanes by class and shape, rack summaries, reservation, ejection. Before: nothing. After: table tests of reclaim, gang, reservation, restore and health pass with -race. Conclusion: usable by the entry; cost and policy are not measured yet.

--- /dev/null
+++ b/internal/core/place/claim.go
@@ -0,0 +1,314 @@
+package place
+
+import (
+	"sort"
+
+	"github.com/chestnutpond/chestnutpond"
+)
+
+// plan is a way to run a job on a cell.
+type plan struct {
+	holds []hold
+	// victims hold accelerators of the plan and run on.
+	victims []*job
+	// busy means that some accelerators are not free yet.
+	busy bool
+	cost int64
+}
+
+// claimGuarantees gives cells to the waiting jobs that are within a guarantee.
+func (c *Core) claimGuarantees() {
+	for _, a := range c.ordered {
+		if !a.check {
+			continue
+		}
+		a.check = false
+		if a.waiting == 0 || len(a.cells) == 0 {
+			continue
+		}
+		for c.claimNext(a) {
+		}
+	}
+}
+
+// claimNext claims for one job of the account and reports whether it did.
+func (c *Core) claimNext(a *account) bool {
+	heads := make([]*job, 0, len(a.nodes))
+	for _, n := range a.nodes {
+		heads = append(heads, n.head())
+	}
+	sort.Slice(heads, func(i, j int) bool {
+		x, y := heads[i], heads[j]
+		if p, q := x.spec.Class.Rank(), y.spec.Class.Rank(); p != q {
+			return p < q
+		}
+		return before(x, y)
+	})
+	for _, j := range heads {
+		if c.claimFor(j) {
+			return true
+		}
+	}
+	return false
+}
+
+// claimFor starts a job on a cell of its account, or claims the accelerators
+// for it: on free ones, on a cell moved to free ones, on free accelerators
+// outside cells, and with preemption only if nothing else is left.
+func (c *Core) claimFor(j *job) bool {
+	var best *cell
+	var bestPlan plan
+	for _, l := range j.account.cells {
+		if !l.covered() || l.shape.Accelerators-l.used < j.size() {
+			continue
+		}
+		p, ok := c.planIn(l, j)
+		if !ok || best != nil && !p.better(bestPlan, l, best) {
+			continue
+		}
+		best, bestPlan = l, p
+	}
+	if best == nil {
+		return false
+	}
+	if !bestPlan.busy {
+		c.claimOn(j, best, bestPlan)
+		return true
+	}
+	if best.used == 0 && c.moveCell(best) {
+		if p, ok := c.planIn(best, j); ok {
+			c.claimOn(j, best, p)
+			return true
+		}
+	}
+	if j.account.used+j.size() <= j.account.guaranteed {
+		if picks, ok := c.fleet.find(query{shape: j.spec.Shape, view: viewOpen, avoid: j.avoid}); ok {
+			c.startBorrower(j, picks)
+			return true
+		}
+	}
+	c.claimOn(j, best, bestPlan)
+	return true
+}
+
+func (p plan) better(o plan, l, other *cell) bool {
+	if p.busy != o.busy {
+		return !p.busy
+	}
+	if p.cost != o.cost {
+		return p.cost < o.cost
+	}
+	return l.shape.Accelerators-l.used < other.shape.Accelerators-other.used
+}
+
+// moveCell moves an unused cell to free accelerators outside all cells.
+func (c *Core) moveCell(l *cell) bool {
+	picks, ok := c.fleet.find(query{shape: l.shape, view: viewOpen})
+	if !ok {
+		return false
+	}
+	c.unplace(l)
+	c.bind(l, cellHolds(picks, l.account))
+	return true
+}
+
+// planIn finds the cheapest way to run the job on the cell.
+func (c *Core) planIn(l *cell, j *job) (plan, bool) {
+	cands := l.candidates(c, j)
+	best, found := plan{}, false
+	for _, d := range cands {
+		if d.n < j.size() {
+			continue
+		}
+		if p := c.planOn(l, []pick{{d.w, j.size()}}); !found || p.cost < best.cost {
+			best, found = p, true
+		}
+	}
+	if found || j.spec.Shape.Adjacency == chestnutpond.AdjacencyWorker {
+		return best, found
+	}
+	for _, group := range byRack(cands) {
+		if picks, ok := choose(group, j.size()); ok {
+			if p := c.planOn(l, picks); !found || p.cost < best.cost {
+				best, found = p, true
+			}
+		}
+	}
+	if found || j.spec.Shape.Adjacency == chestnutpond.AdjacencyRack {
+		return best, found
+	}
+	picks, ok := choose(cands, j.size())
+	if !ok {
+		return plan{}, false
+	}
+	return c.planOn(l, picks), true
+}
+
+// candidates returns the workers of the cell with what they offer to its owner.
+func (l *cell) candidates(c *Core, j *job) []candidate {
+	q := query{avoid: j.avoid}
+	cands := make([]candidate, 0, len(l.parts))
+	for _, p := range l.parts {
+		if !q.allows(p.w) {
+			continue
+		}
+		n, cost := 0, int64(0)
+		for _, i := range p.index {
+			s := &p.w.slots[i]
+			if !s.offered() {
+				continue
+			}
+			n++
+			if s.job != nil {
+				cost += c.loss(s.job)
+			}
+		}
+		if n > 0 {
+			cands = append(cands, candidate{p.w, n, cost})
+		}
+	}
+	return cands
+}
+
+// offered reports whether the owner of the cell may claim the accelerator.
+func (s *slot) offered() bool {
+	return (s.claim == nil || !s.claim.guaranteed) && (s.job == nil || !s.job.guaranteed)
+}
+
+func byRack(cands []candidate) [][]candidate {
+	var groups [][]candidate
+	for _, d := range cands {
+		found := false
+		for i, g := range groups {
+			if g[0].w.rack == d.w.rack {
+				groups[i] = append(g, d)
+				found = true
+			}
+		}
+		if !found {
+			groups = append(groups, []candidate{d})
+		}
+	}
+	return groups
+}
+
+// Weights of the loss of a preempted job: a class above another outweighs any
+// run time, and each preemption outweighs some, so that fewer jobs are stopped.
+const (
+	lossPerClass   = int64(1) << 48
+	lossPerJob     = 5000
+	lossPerGPUUnit = 1_000_000 // nanoseconds in a unit of lost work
+)
+
+// loss is the work lost when a job is preempted, in accelerator-milliseconds
+// with a surcharge for its class and for the preemption itself.
+func (c *Core) loss(j *job) int64 {
+	if j.state == stateStopping {
+		return 0
+	}
+	run := int64(0)
+	if j.state == stateRunning {
+		run = int64(c.now-j.since) / lossPerGPUUnit * int64(j.size())
+	}
+	return int64(lastRank-min(j.spec.Class.Rank(), lastRank))*lossPerClass + run + lossPerJob
+}
+
+// planOn chooses the accelerators of the cell on the picked workers.
+func (c *Core) planOn(l *cell, picks []pick) plan {
+	var p plan
+	for _, k := range picks {
+		h, victims, busy := c.pickSlots(l, k)
+		p.holds = append(p.holds, h)
+		p.busy = p.busy || busy
+		for _, v := range victims {
+			if !contains(p.victims, v) {
+				p.victims = append(p.victims, v)
+				p.cost += c.loss(v)
+			}
+		}
+	}
+	return p
+}
+
+// pickSlots chooses accelerators of one worker of the cell: free ones, then
+// those that are being freed, then those of the borrowers that lose the least.
+// No chosen borrower can be spared.
+func (c *Core) pickSlots(l *cell, k pick) (hold, []*job, bool) {
+	var free, stopping []int
+	var borrowers []*job
+	of := map[*job][]int{}
+	for i := range k.w.slots {
+		s := &k.w.slots[i]
+		switch {
+		case s.cell != l || !s.offered():
+		case s.job == nil:
+			free = append(free, i)
+		case s.job.state == stateStopping:
+			stopping = append(stopping, i)
+		default:
+			if len(of[s.job]) == 0 {
+				borrowers = append(borrowers, s.job)
+			}
+			of[s.job] = append(of[s.job], i)
+		}
+	}
+	sort.SliceStable(borrowers, func(a, b int) bool { return c.loss(borrowers[a]) < c.loss(borrowers[b]) })
+	total := len(free) + len(stopping)
+	var victims []*job
+	for _, b := range borrowers {
+		if total >= k.n {
+			break
+		}
+		victims = append(victims, b)
+		total += len(of[b])
+	}
+	for i := len(victims) - 1; i >= 0; i-- {
+		if v := victims[i]; total-len(of[v]) >= k.n {
+			total -= len(of[v])
+			victims = without(victims, v)
+		}
+	}
+	index := append(free, stopping...)
+	for _, v := range victims {
+		index = append(index, of[v]...)
+	}
+	index = index[:k.n]
+	sortInts(index)
+	return hold{k.w, index}, victims, len(free) < k.n
+}
+
+// claimOn starts the job on the cell if its accelerators are free. Otherwise it
+// claims them and preempts the borrowers.
+func (c *Core) claimOn(j *job, l *cell, p plan) {
+	c.take(j)
+	j.cell = l
+	j.guaranteed = true
+	l.used += j.size()
+	c.claim(j, p.holds)
+	for _, v := range p.victims {
+		c.preempt(v, j)
+	}
+	if len(p.victims) > 0 {
+		c.noteReclaim(l)
+	}
+	if p.busy {
+		if j.account.claims == 0 {
+			j.account.owedSince = c.now
+		}
+		j.account.claims++
+		j.reason = "waiting for preempted work to stop"
+		return
+	}
+	c.startClaimed(j)
+}
+
+func (c *Core) preempt(v, by *job) {
+	if v.state == stateStopping {
+		return
+	}
+	v.state = stateStopping
+	c.actions = append(c.actions, Action{
+		Kind: ActionPreempt, Job: v.spec.ID, Attempt: v.attempt, Placements: v.placements(v.held),
+		Reason: "the owner of the cell claims it", For: by.spec.ID,
+	})
+}
--- /dev/null
+++ b/internal/core/place/core_test.go
@@ -0,0 +1,184 @@
+package place_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/chestnutpond/chestnutpond"
+	"github.com/chestnutpond/chestnutpond/internal/core/place"
+)
+
+func shape(n int, a chestnutpond.Adjacency) chestnutpond.Shape {
+	return chestnutpond.Shape{Accelerators: n, Adjacency: a}
+}
+
+// document gives each account one guarantee of 8 accelerators on one worker.
+func document(accounts ...string) chestnutpond.Document {
+	var d chestnutpond.Document
+	for _, a := range accounts {
+		d.Accounts = append(d.Accounts, chestnutpond.Account{
+			Name: a, Weight: 1,
+			Guarantees: []chestnutpond.Guarantee{{Region: "r", Count: 1, Shape: shape(8, chestnutpond.AdjacencyWorker)}},
+		})
+	}
+	return d
+}
+
+func spec(id, account string, class chestnutpond.Class, s chestnutpond.Shape) chestnutpond.JobSpec {
+	return chestnutpond.JobSpec{
+		ID: chestnutpond.JobID(id), Account: account, Kind: "k", Class: class, Region: "r", Shape: s, MaxAttempts: 3,
+	}
+}
+
+// region has workers w0, w1 … of 8 accelerators, three to a rack.
+func region(workers int, doc chestnutpond.Document) *place.Core {
+	c := place.New(place.Config{Region: "r"})
+	for i := range workers {
+		c.PutWorker(0, place.Worker{
+			Name: fmt.Sprintf("w%d", i), Incarnation: 1, Zone: "z", Rack: fmt.Sprintf("r%d", i/3), Accelerators: 8,
+		})
+	}
+	c.SetDocument(0, doc)
+	return c
+}
+
+func starts(actions []place.Action) map[chestnutpond.JobID]place.Action {
+	out := map[chestnutpond.JobID]place.Action{}
+	for _, a := range actions {
+		if a.Kind == place.ActionStart {
+			out[a.Job] = a
+		}
+	}
+	return out
+}
+
+// Guards against a guarantee that stays with its borrowers, and against
+// preempting more borrowers than the claim needs.
+func TestReclaimPreemptsTheCheapestBorrowers(t *testing.T) {
+	c := region(2, document("a", "b"))
+	for i := range 16 {
+		c.Submit(0, spec(fmt.Sprintf("b%02d", i), "b", chestnutpond.ClassStandard, shape(1, chestnutpond.AdjacencyWorker)), 0)
+	}
+	began := starts(c.Decide(0))
+	assert.Equal(t, len(began), 16)
+	for id := range began {
+		c.Running(time.Second, id, 1)
+	}
+	c.Submit(time.Minute, spec("a0", "a", chestnutpond.ClassBulk, shape(4, chestnutpond.AdjacencyWorker)), 0)
+	actions := c.Decide(time.Minute)
+	assert.Equal(t, len(actions), 4)
+	for _, a := range actions {
+		assert.Equal(t, a.Kind, place.ActionPreempt)
+		assert.Equal(t, a.For, chestnutpond.JobID("a0"))
+		assert.Assert(t, !began[a.Job].Guaranteed)
+		c.Stopped(time.Minute+time.Second, a.Job, a.Attempt)
+	}
+	again := starts(c.Decide(time.Minute + time.Second))
+	assert.Equal(t, len(again), 1)
+	assert.Assert(t, again["a0"].Guaranteed)
+}
+
+// Guards against gangs that straddle racks or take parts of several workers.
+func TestGangTakesWholeWorkersOfOneRack(t *testing.T) {
+	c := region(6, document())
+	c.Submit(0, spec("small", "a", chestnutpond.ClassStandard, shape(1, chestnutpond.AdjacencyWorker)), 0)
+	c.Submit(1, spec("gang", "a", chestnutpond.ClassStandard, shape(20, chestnutpond.AdjacencyRack)), 0)
+	began := starts(c.Decide(1))
+	assert.Equal(t, len(began), 2)
+	got := began["gang"].Placements
+	assert.Equal(t, len(got), 3)
+	assert.Equal(t, len(got[0].Accelerators)+len(got[1].Accelerators), 16)
+	assert.Equal(t, len(got[2].Accelerators), 4)
+}
+
+// Guards against a large gang that small jobs overtake for ever.
+func TestReservationHoldsFreedAccelerators(t *testing.T) {
+	c := region(1, document())
+	one := shape(1, chestnutpond.AdjacencyWorker)
+	for i := range 8 {
+		c.Submit(0, spec(fmt.Sprintf("s%d", i), "a", chestnutpond.ClassStandard, one), 0)
+	}
+	assert.Equal(t, len(starts(c.Decide(0))), 8)
+	c.Submit(1, spec("gang", "b", chestnutpond.ClassStandard, shape(8, chestnutpond.AdjacencyWorker)), 0)
+	c.Decide(1)
+	c.Submit(2, spec("late", "c", chestnutpond.ClassUrgent, one), 0)
+	for i := range 8 {
+		c.Remove(3, chestnutpond.JobID(fmt.Sprintf("s%d", i)))
+		began := starts(c.Decide(3))
+		_, late := began["late"]
+		assert.Assert(t, !late)
+		assert.Equal(t, len(began), i/7)
+	}
+}
+
+// Guards against two schedulers' cells differing after a takeover such that a
+// guaranteed job becomes a borrower.
+func TestRestoredJobKeepsItsCell(t *testing.T) {
+	c := place.New(place.Config{Region: "r"})
+	c.SetDocument(0, document("a", "b"))
+	p := []chestnutpond.Placement{{Worker: "w1", Accelerators: []int{4, 5, 6, 7}}}
+	c.Restore(0, spec("x", "a", chestnutpond.ClassBulk, shape(4, chestnutpond.AdjacencyWorker)), 3, p, true, false)
+	c.Decide(0)
+	for _, name := range []string{"w0", "w1"} {
+		c.PutWorker(1, place.Worker{Name: name, Zone: "z", Rack: "r", Accelerators: 8})
+		c.Decide(1)
+	}
+	c.Submit(2, spec("y", "b", chestnutpond.ClassBulk, shape(8, chestnutpond.AdjacencyWorker)), 0)
+	actions := c.Decide(2)
+	assert.Equal(t, len(actions), 1)
+	assert.Equal(t, actions[0].Kind, place.ActionStart)
+	assert.Equal(t, actions[0].Placements[0].Worker, "w0")
+	for _, s := range c.Status(2) {
+		assert.Equal(t, s.Borrowed, 0)
+		assert.Assert(t, s.Covered)
+	}
+}
+
+// Guards against a bad worker that goes on getting work, and against blaming
+// workers for a job that cannot run.
+func TestHealth(t *testing.T) {
+	fail := func(c *place.Core, now time.Duration, id string, attempt int64, worker string) {
+		c.TaskFailed(now, chestnutpond.JobID(id), attempt, place.Failure{Worker: worker, Blame: true, Reason: "exit 1"})
+	}
+	t.Run("a worker that fails different jobs is ejected", func(t *testing.T) {
+		c := region(4, document())
+		full := shape(8, chestnutpond.AdjacencyWorker)
+		bad := ""
+		for i := range 3 {
+			id := fmt.Sprintf("j%d", i)
+			c.Submit(0, spec(id, "a", chestnutpond.ClassBulk, full), 0)
+			got := starts(c.Decide(0))[chestnutpond.JobID(id)]
+			bad = got.Placements[0].Worker
+			fail(c, 0, id, 1, bad)
+			c.Remove(0, chestnutpond.JobID(id))
+		}
+		for i := range 4 {
+			c.Submit(1, spec(fmt.Sprintf("k%d", i), "a", chestnutpond.ClassBulk, full), 0)
+		}
+		began := starts(c.Decide(1))
+		assert.Equal(t, len(began), 3)
+		for _, a := range began {
+			assert.Assert(t, a.Placements[0].Worker != bad)
+		}
+	})
+	t.Run("a job that fails on three workers is given up", func(t *testing.T) {
+		c := region(6, document())
+		c.Submit(0, spec("j", "a", chestnutpond.ClassBulk, shape(8, chestnutpond.AdjacencyWorker)), 0)
+		seen := map[string]bool{}
+		now := time.Duration(0)
+		for attempt := int64(1); attempt <= 3; attempt++ {
+			got := starts(c.Decide(now))["j"]
+			assert.Equal(t, got.Attempt, attempt)
+			assert.Assert(t, !seen[got.Placements[0].Worker])
+			seen[got.Placements[0].Worker] = true
+			fail(c, now, "j", attempt, got.Placements[0].Worker)
+			now += time.Second
+		}
+		actions := c.Decide(now)
+		assert.Equal(t, len(actions), 1)
+		assert.Equal(t, actions[0].Kind, place.ActionGiveUp)
+	})
+}
--- /dev/null
+++ b/internal/core/place/job.go
@@ -0,0 +1,184 @@
+package place
+
+import (
+	"time"
+
+	"github.com/chestnutpond/chestnutpond"
+)
+
+// state is where a job stands for the core.
+type state int
+
+const (
+	// stateNew is a job in no structure yet.
+	stateNew state = iota
+	// stateWaiting is a job in its lane.
+	stateWaiting
+	// stateDelayed is a job that waits for its retry time.
+	stateDelayed
+	// stateClaiming is a job whose accelerators are claimed but not all free.
+	stateClaiming
+	stateStarting
+	stateRunning
+	// stateStopping is a job that was preempted and still holds accelerators.
+	stateStopping
+	// stateGivenUp is an impossible job until the caller removes it.
+	stateGivenUp
+)
+
+// holds reports whether a job in this state holds accelerators.
+func (s state) holds() bool {
+	return s == stateStarting || s == stateRunning || s == stateStopping
+}
+
+// hold is a set of accelerators of one worker.
+type hold struct {
+	w     *worker
+	index []int
+}
+
+type job struct {
+	position
+	spec    chestnutpond.JobSpec
+	account *account
+	caller  *caller
+	state   state
+	attempt int64
+	// seq orders jobs by their first submission.
+	seq int64
+	// held are the accelerators of the current attempt, member by member.
+	held []hold
+	// claim are the accelerators of the next attempt, in stateClaiming.
+	claim []hold
+	// cell is the cell that held or claim lie in, for a guaranteed job.
+	cell       *cell
+	guaranteed bool
+	// since is when the attempt started to run.
+	since time.Duration
+
+	// notBefore is the earliest time of the next attempt.
+	notBefore time.Duration
+	// retries counts failed starts in a row.
+	retries int
+	// failed names the different workers on which the job failed and that were
+	// not found to be at fault since.
+	failed []string
+	// avoid names the workers that must not get the job again.
+	avoid []string
+	// blames counts all failures that may be the job's fault.
+	blames int
+	// dodges counts the times that only avoided workers had room.
+	dodges int
+	reason string
+}
+
+func (j *job) size() int { return j.spec.Shape.Accelerators }
+
+// account is a client account with jobs or guarantees in the region.
+type account struct {
+	name    string
+	weight  int
+	callers map[string]*caller
+	nodes   []*laneAccount
+	cells   []*cell
+	// guaranteed is the number of accelerators of the account's guarantees.
+	guaranteed int
+	// used counts the accelerators held; borrowed those of them that jobs hold
+	// which are not guaranteed.
+	used, borrowed int
+	waiting        int
+	// check means that a waiting job may fit a cell.
+	check bool
+	// claims counts guaranteed jobs that wait for preempted work to stop.
+	claims    int
+	owedSince time.Duration
+	debt      time.Duration
+}
+
+// caller is a caller of an account; it is forgotten with its last job.
+type caller struct {
+	name    string
+	account *account
+	nodes   []*laneCaller
+	jobs    int
+	// used counts the accelerators held.
+	used int
+}
+
+func (a *account) caller(name string) *caller {
+	l := a.callers[name]
+	if l == nil {
+		l = &caller{name: name, account: a}
+		a.callers[name] = l
+	}
+	return l
+}
+
+// grab gives accelerators to a job.
+func (c *Core) grab(j *job, holds []hold) {
+	j.held = holds
+	n := 0
+	for _, h := range holds {
+		for _, i := range h.index {
+			h.w.slots[i].job = j
+		}
+		n += len(h.index)
+		c.fleet.touch(h.w)
+	}
+	c.charge(j, n)
+}
+
+// release takes back what a job holds.
+func (c *Core) release(j *job) {
+	n := 0
+	held := j.held
+	j.held = nil
+	for _, h := range held {
+		for _, i := range h.index {
+			if h.w.slots[i].job == j {
+				h.w.slots[i].job = nil
+			}
+		}
+		n += len(h.index)
+	}
+	c.charge(j, -n)
+	if j.cell != nil {
+		c.leaveCell(j)
+	}
+	j.guaranteed = false
+	for _, h := range held {
+		c.fleet.touch(h.w)
+		c.fleet.forget(h.w)
+	}
+}
+
+// charge counts accelerators as used by the job's account and caller.
+func (c *Core) charge(j *job, n int) {
+	j.account.used += n
+	if !j.guaranteed {
+		j.account.borrowed += n
+	}
+	j.caller.used += n
+	c.queue.used[min(j.spec.Class.Rank(), lastRank)] += n
+	c.queue.reorder(j.account, j.caller)
+}
+
+// setGuaranteed changes whether a job that holds accelerators is a borrower.
+func (c *Core) setGuaranteed(j *job, guaranteed bool) {
+	if j.guaranteed == guaranteed {
+		return
+	}
+	n := 0
+	for _, h := range j.held {
+		n += len(h.index)
+	}
+	if guaranteed {
+		n = -n
+	}
+	j.guaranteed = guaranteed
+	j.account.borrowed += n
+	c.queue.reorder(j.account, nil)
+	for _, h := range j.held {
+		c.fleet.touch(h.w)
+	}
+}
--- /dev/null
+++ b/internal/core/place/queue.go
@@ -0,0 +1,177 @@
+package place
+
+import (
+	"sort"
+
+	"github.com/chestnutpond/chestnutpond"
+)
+
+// lastRank is the rank of the least urgent class.
+const lastRank = 2
+
+type laneKey struct {
+	rank  int
+	shape chestnutpond.Shape
+}
+
+// lane holds the waiting jobs of one class and shape.
+type lane struct {
+	key      laneKey
+	accounts indexHeap[*laneAccount]
+	// failedAt is the growth of the fleet when the lane's shape last had no
+	// place; -1 if it may have one.
+	failedAt int64
+}
+
+// laneAccount is the part of a lane that belongs to one account. It exists
+// while it has jobs.
+type laneAccount struct {
+	position
+	lane    *lane
+	account *account
+	callers indexHeap[*laneCaller]
+}
+
+// laneCaller is the part of a lane that belongs to one caller. It exists while
+// it has jobs.
+type laneCaller struct {
+	position
+	in     *laneAccount
+	caller *caller
+	jobs   indexHeap[*job]
+}
+
+// queue holds the waiting jobs that may start now.
+type queue struct {
+	byKey map[laneKey]*lane
+	// lanes are ordered by class, then size, then adjacency.
+	lanes []*lane
+	// used counts the accelerators that the jobs of each class hold.
+	used [lastRank + 1]int
+}
+
+// before orders jobs within a lane or between lanes of equal rank.
+func before(a, b *job) bool {
+	if a.account != b.account {
+		x, y := a.account.borrowed*b.account.weight, b.account.borrowed*a.account.weight
+		if x != y {
+			return x < y
+		}
+	}
+	if a.caller != b.caller && a.caller.used != b.caller.used {
+		return a.caller.used < b.caller.used
+	}
+	return a.seq < b.seq
+}
+
+func (l *lane) head() *job        { return l.accounts.top().head() }
+func (n *laneAccount) head() *job { return n.callers.top().jobs.top() }
+func (n *laneCaller) first() *job { return n.jobs.top() }
+func olderJob(a, b *job) bool     { return a.seq < b.seq }
+func lessCaller(a, b *laneCaller) bool {
+	return before(a.first(), b.first())
+}
+
+func lessAccount(a, b *laneAccount) bool {
+	return before(a.head(), b.head())
+}
+
+func (q *queue) lane(key laneKey) *lane {
+	l := q.byKey[key]
+	if l != nil {
+		return l
+	}
+	l = &lane{key: key, failedAt: -1}
+	l.accounts.less = lessAccount
+	q.byKey[key] = l
+	i := sort.Search(len(q.lanes), func(i int) bool { return laneLess(key, q.lanes[i].key) })
+	q.lanes = append(q.lanes, nil)
+	copy(q.lanes[i+1:], q.lanes[i:])
+	q.lanes[i] = l
+	return l
+}
+
+func laneLess(a, b laneKey) bool {
+	if a.rank != b.rank {
+		return a.rank < b.rank
+	}
+	if a.shape.Accelerators != b.shape.Accelerators {
+		return a.shape.Accelerators > b.shape.Accelerators
+	}
+	return a.shape.Adjacency < b.shape.Adjacency
+}
+
+func (q *queue) add(j *job) {
+	l := q.lane(laneKey{min(j.spec.Class.Rank(), lastRank), j.spec.Shape})
+	var lc *laneCaller
+	for _, n := range j.caller.nodes {
+		if n.in.lane == l {
+			lc = n
+		}
+	}
+	if lc != nil {
+		lc.jobs.push(j)
+		lc.in.callers.fix(lc)
+		l.accounts.fix(lc.in)
+		return
+	}
+	var la *laneAccount
+	for _, n := range j.account.nodes {
+		if n.lane == l {
+			la = n
+		}
+	}
+	lc = &laneCaller{caller: j.caller, jobs: indexHeap[*job]{less: olderJob}}
+	lc.jobs.push(j)
+	j.caller.nodes = append(j.caller.nodes, lc)
+	if la != nil {
+		lc.in = la
+		la.callers.push(lc)
+		l.accounts.fix(la)
+		return
+	}
+	la = &laneAccount{lane: l, account: j.account, callers: indexHeap[*laneCaller]{less: lessCaller}}
+	lc.in = la
+	la.callers.push(lc)
+	j.account.nodes = append(j.account.nodes, la)
+	l.accounts.push(la)
+}
+
+func (q *queue) remove(j *job) {
+	l := q.byKey[laneKey{min(j.spec.Class.Rank(), lastRank), j.spec.Shape}]
+	for _, lc := range j.caller.nodes {
+		if lc.in.lane != l {
+			continue
+		}
+		la := lc.in
+		if la.callers.len() == 1 && lc.jobs.len() == 1 {
+			l.accounts.remove(la)
+			j.account.nodes = without(j.account.nodes, la)
+		}
+		if lc.jobs.len() == 1 {
+			la.callers.remove(lc)
+			j.caller.nodes = without(j.caller.nodes, lc)
+		}
+		lc.jobs.remove(j)
+		if lc.jobs.len() > 0 {
+			la.callers.fix(lc)
+		}
+		if la.callers.len() > 0 {
+			l.accounts.fix(la)
+		}
+		return
+	}
+}
+
+// reorder restores the order after the usage of an account changed, and of one
+// of its callers if given.
+func (q *queue) reorder(a *account, l *caller) {
+	if l != nil {
+		for _, n := range l.nodes {
+			n.in.callers.fix(n)
+		}
+	}
+	for _, n := range a.nodes {
+		n.lane.accounts.fix(n)
+	}
+}
--- /dev/null
+++ b/internal/core/place/status.go
@@ -0,0 +1,64 @@
+package place
+
+import (
+	"time"
+
+	"github.com/chestnutpond/chestnutpond"
+)
+
+// AccountStatus is the standing of one account in the region.
+type AccountStatus struct {
+	Account string
+	// Guaranteed is the number of guaranteed accelerators, Used of held ones,
+	// Borrowed of those held by jobs outside the guarantee.
+	Guaranteed, Used, Borrowed int
+	// Waiting is the number of waiting jobs.
+	Waiting int
+	// Covered means that each guarantee is bound to accelerators.
+	Covered bool
+	// Debt is the total time in which guaranteed jobs of the account waited for
+	// preempted work to stop.
+	Debt time.Duration
+}
+
+// Status returns the standing of all accounts, by name.
+func (c *Core) Status(now time.Duration) []AccountStatus {
+	c.advance(now)
+	out := make([]AccountStatus, 0, len(c.ordered))
+	for _, a := range c.ordered {
+		s := AccountStatus{
+			Account: a.name, Guaranteed: a.guaranteed, Used: a.used, Borrowed: a.borrowed,
+			Waiting: a.waiting, Covered: true, Debt: a.debt,
+		}
+		for _, j := range c.claims {
+			if j.account == a {
+				s.Waiting++
+			}
+		}
+		if a.claims > 0 {
+			s.Debt += c.now - a.owedSince
+		}
+		for _, l := range a.cells {
+			s.Covered = s.Covered && l.covered()
+		}
+		out = append(out, s)
+	}
+	return out
+}
+
+// Waiting returns why a job waits; ok is false if it does not wait.
+func (c *Core) Waiting(id chestnutpond.JobID) (reason string, ok bool) {
+	j := c.jobs[id]
+	if j == nil || j.state != stateWaiting && j.state != stateDelayed && j.state != stateClaiming {
+		return "", false
+	}
+	switch {
+	case j.reason != "":
+		return j.reason, true
+	case !c.Fits(j.spec.Shape):
+		return "no worker, rack or zone that is up can hold its shape", true
+	case j.state == stateDelayed:
+		return "waiting for its next try", true
+	}
+	return "no free accelerators that are adjacent enough", true
+}
