--- a/internal/core/ledger/apply.go
+++ b/internal/core/ledger/apply.go
@@ -89,7 +89,8 @@
 	}
 	current := s.configs[b.Service]
 	result := Publication{ID: b.ID, Service: b.Service, Version: current.Version}
-	if b.Base == current.Version {
+	if b.Base == current.Version && (s.service == "" || s.service == b.Service) {
+		s.service = b.Service
 		result.Accepted = true
 		result.Version = current.Version + 1
 		s.configs[b.Service] = Config{Service: b.Service, Version: result.Version, Document: b.Document}
--- a/internal/core/ledger/snap.go
+++ b/internal/core/ledger/snap.go
@@ -78,6 +78,7 @@
 func (s *State) load(img image) {
 	for _, c := range img.Configs {
 		s.configs[c.Service] = c
+		s.service = c.Service
 	}
 	for _, p := range img.Publications {
 		s.publications[p.ID] = p
--- a/internal/core/ledger/state.go
+++ b/internal/core/ledger/state.go
@@ -76,8 +76,10 @@
 // State is the fold of the log. It is not safe for concurrent use.
 type State struct {
 	// next is the offset of the record to apply next.
-	next         int64
-	configs      map[string]Config
+	next    int64
+	configs map[string]Config
+	// service is the one whose document was accepted first; empty before.
+	service      string
 	publications map[string]Publication
 	// publicationOrder lists the keys of publications, oldest first.
 	publicationOrder []string
@@ -116,6 +118,13 @@
 	return c, ok
 }
 
+// Current returns the document of the deployment's service. A deployment has
+// one service: the first that was published.
+func (s *State) Current() (Config, bool) {
+	c, ok := s.configs[s.service]
+	return c, ok
+}
+
 // Services returns the names of the services that have a document, sorted.
 func (s *State) Services() []string {
 	names := make([]string, 0, len(s.configs))
--- /dev/null
+++ b/internal/node/entry/document.go
@@ -0,0 +1,123 @@
+package entry
+
+import (
+	"context"
+	"crypto/rand"
+	"net/http"
+	"strconv"
+
+	"github.com/labstack/echo/v4"
+
+	"github.com/chestnutpond/chestnutpond"
+	"github.com/chestnutpond/chestnutpond/internal/core/ledger"
+)
+
+// published is the outcome of a publication.
+type published struct {
+	Outcome chestnutpond.Outcome `json:"outcome"`
+	Version int64                `json:"version"`
+	ID      string               `json:"id,omitempty"`
+}
+
+func (e *Entry) putDocument(c echo.Context, _ caller) error {
+	base, err := strconv.ParseInt(c.QueryParam("base"), 10, 64)
+	if err != nil || base < 0 {
+		return reject(c, http.StatusBadRequest, chestnutpond.ReasonBase, "base must be the version that was edited")
+	}
+	body, err := readBody(c, maxDocument)
+	if err != nil {
+		return rejectBody(c, err, maxDocument)
+	}
+	doc, err := e.cfg.ParseDocument("document", body)
+	if err != nil {
+		return reject(c, http.StatusUnprocessableEntity, chestnutpond.ReasonBadDocument, err.Error())
+	}
+	current, _ := e.current()
+	if current.Service != "" && current.Service != doc.Service {
+		return reject(c, http.StatusUnprocessableEntity, chestnutpond.ReasonBadDocument,
+			"this deployment runs service "+current.Service)
+	}
+	if short := e.overcommitted(doc); short != "" {
+		return reject(c, http.StatusUnprocessableEntity, chestnutpond.ReasonBadDocument, short)
+	}
+	id := c.QueryParam("id")
+	if id == "" {
+		id = rand.Text()
+	}
+	if len(id) > maxKey {
+		return reject(c, http.StatusBadRequest, chestnutpond.ReasonBase, "id may have 256 bytes")
+	}
+	return e.publish(c, ledger.Publish{ID: id, Service: doc.Service, Base: base, Document: body})
+}
+
+// overcommitted says which region has fewer accelerators than the document
+// guarantees there. A region without known workers is left out, so that the
+// first document can be published before the first agent announces itself.
+func (e *Entry) overcommitted(doc chestnutpond.Document) string {
+	have := make(map[string]int)
+	for _, row := range e.group.Rows() {
+		have[row.Member.GetRegion()] += int(row.Member.GetAccelerators())
+	}
+	want := make(map[string]int)
+	for _, a := range doc.Accounts {
+		for _, g := range a.Guarantees {
+			want[g.Region] += g.Count * g.Shape.Accelerators
+			if have[g.Region] > 0 && want[g.Region] > have[g.Region] {
+				return "region " + g.Region + " has " + itoa(int64(have[g.Region])) +
+					" accelerators, fewer than the document guarantees there"
+			}
+		}
+	}
+	return ""
+}
+
+func (e *Entry) publish(c echo.Context, body ledger.Publish) error {
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(c.Request().Context()), acceptTimeout)
+	defer cancel()
+	err := e.tail.Append(ctx, body)
+	if p, ok := e.publication(body.ID); ok {
+		return answerPublication(c, p)
+	}
+	e.log.Warn("entry: publication not confirmed", "id", body.ID, "error", err)
+	return fail(c, http.StatusGatewayTimeout, failure{
+		Outcome: chestnutpond.OutcomeUnknown, Reason: chestnutpond.ReasonLogUnavailable,
+		Detail: "ask for the publication by its id", ID: body.ID,
+	})
+}
+
+func (e *Entry) publication(id string) (p ledger.Publication, ok bool) {
+	e.tail.View(func(st *ledger.State) { p, ok = st.Publication(id) })
+	return p, ok
+}
+
+func answerPublication(c echo.Context, p ledger.Publication) error {
+	res := published{Outcome: chestnutpond.OutcomePublished, Version: p.Version, ID: p.ID}
+	status := http.StatusOK
+	if !p.Accepted {
+		res.Outcome = chestnutpond.OutcomeLost
+		status = http.StatusConflict
+	}
+	c.Response().Header().Set(headerOutcome, string(res.Outcome))
+	return c.JSON(status, res)
+}
+
+func (e *Entry) getDocument(c echo.Context, _ caller) error {
+	doc, raw := e.current()
+	if doc.Version == 0 {
+		return reject(c, http.StatusNotFound, chestnutpond.ReasonNoConfig, "no document was published yet")
+	}
+	c.Response().Header().Set(headerVersion, itoa(doc.Version))
+	return c.Blob(http.StatusOK, "application/yaml", raw)
+}
+
+func (e *Entry) getPublication(c echo.Context, _ caller) error {
+	p, ok := e.publication(c.Param("id"))
+	if !ok {
+		return c.JSON(http.StatusOK, published{Outcome: chestnutpond.OutcomeUnknown, ID: c.Param("id")})
+	}
+	res := published{Outcome: chestnutpond.OutcomePublished, Version: p.Version, ID: p.ID}
+	if !p.Accepted {
+		res.Outcome = chestnutpond.OutcomeLost
+	}
+	return c.JSON(http.StatusOK, res)
+}
--- /dev/null
+++ b/internal/node/entry/jobs.go
@@ -0,0 +1,279 @@
+package entry
+
+import (
+	"bytes"
+	"context"
+	"crypto/rand"
+	"crypto/sha256"
+	"encoding/hex"
+	"encoding/json"
+	"errors"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/labstack/echo/v4"
+
+	"github.com/chestnutpond/chestnutpond"
+	"github.com/chestnutpond/chestnutpond/internal/core/ledger"
+)
+
+// acceptTimeout bounds the wait for the log when a job is accepted or
+// cancelled.
+const acceptTimeout = 5 * time.Second
+
+// jobRequest is the body of POST /v1/jobs.
+type jobRequest struct {
+	Kind         string                 `json:"kind"`
+	Region       string                 `json:"region"`
+	Accelerators int                    `json:"accelerators"`
+	Adjacency    chestnutpond.Adjacency `json:"adjacency"`
+	Declared     string                 `json:"declared"`
+	Payload      []byte                 `json:"payload"`
+	Caller       string                 `json:"caller"`
+}
+
+// accepted is the answer to an accepted or cancelled job.
+type accepted struct {
+	Outcome chestnutpond.Outcome  `json:"outcome"`
+	ID      chestnutpond.JobID    `json:"id"`
+	State   chestnutpond.JobState `json:"state,omitempty"`
+}
+
+func (e *Entry) postJob(c echo.Context, who caller) error {
+	spec, bad := e.readJob(c, who)
+	if bad != nil {
+		return fail(c, bad.status, failure{
+			Outcome: chestnutpond.OutcomeRejected, Reason: bad.reason, Detail: bad.detail,
+		})
+	}
+	if old, ok := e.lookupJob(spec.ID); ok {
+		return e.answerRepeat(c, old, spec)
+	}
+	if e.stopping.Load() {
+		return failNotRun(c, chestnutpond.ReasonDraining, "the entry is stopping", time.Second)
+	}
+	waiting := 0
+	e.tail.View(func(st *ledger.State) { waiting = st.Waiting(spec.Account, spec.Region) })
+	if waiting >= who.account.JobLimit {
+		return failNotRun(c, chestnutpond.ReasonJobLimit, "the account has "+itoa(int64(waiting))+" waiting jobs", time.Second)
+	}
+	if !e.tail.Loaded() || !e.tail.Available() {
+		return failNotRun(c, chestnutpond.ReasonLogUnavailable, "the log service does not answer", time.Second)
+	}
+	return e.accept(c, spec)
+}
+
+func (e *Entry) accept(c echo.Context, spec chestnutpond.JobSpec) error {
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(c.Request().Context()), acceptTimeout)
+	defer cancel()
+	err := e.tail.Append(ctx, ledger.AcceptJob{Spec: spec})
+	if _, ok := e.lookupJob(spec.ID); ok {
+		e.cfg.Events.Add(chestnutpond.Event{Kind: chestnutpond.EventAccepted, Job: spec.ID, Account: spec.Account})
+		c.Response().Header().Set(headerOutcome, string(chestnutpond.OutcomeAccepted))
+		return c.JSON(http.StatusAccepted, accepted{Outcome: chestnutpond.OutcomeAccepted, ID: spec.ID})
+	}
+	var failed *chestnutpond.AppendError
+	if errors.As(err, &failed) && !failed.Ambiguous {
+		return failNotRun(c, chestnutpond.ReasonLogUnavailable, err.Error(), time.Second)
+	}
+	return fail(c, http.StatusGatewayTimeout, failure{
+		Outcome: chestnutpond.OutcomeUnknown, Reason: chestnutpond.ReasonLogUnavailable,
+		Detail: "ask for the job by its id, or submit it again with the same key", ID: string(spec.ID),
+	})
+}
+
+// answerRepeat answers a repeated submission. A key that was used for another
+// job is the caller's mistake.
+func (e *Entry) answerRepeat(c echo.Context, old ledger.Job, spec chestnutpond.JobSpec) error {
+	if old.Spec.Kind != spec.Kind || old.Spec.Shape != spec.Shape {
+		return reject(c, http.StatusUnprocessableEntity, chestnutpond.ReasonBadBody,
+			"the key was used for another job: "+string(old.Spec.ID))
+	}
+	c.Response().Header().Set(headerOutcome, string(chestnutpond.OutcomeAccepted))
+	return c.JSON(http.StatusAccepted, accepted{
+		Outcome: chestnutpond.OutcomeAccepted, ID: old.Spec.ID, State: old.State,
+	})
+}
+
+// badJob says why a job is rejected.
+type badJob struct {
+	status int
+	reason chestnutpond.Reason
+	detail string
+}
+
+func (e *Entry) readJob(c echo.Context, who caller) (chestnutpond.JobSpec, *badJob) {
+	doc, _ := e.current()
+	req, bad := decodeJob(c, doc)
+	if bad != nil {
+		return chestnutpond.JobSpec{}, bad
+	}
+	kind, ok := doc.Kind(req.Kind)
+	if !ok || kind.Work != chestnutpond.WorkJob {
+		return chestnutpond.JobSpec{}, &badJob{
+			http.StatusNotFound, chestnutpond.ReasonUnknownKind, "kind " + req.Kind + " is not a job kind of the service",
+		}
+	}
+	if int64(len(req.Payload)) > kind.MaxBody {
+		return chestnutpond.JobSpec{}, &badJob{
+			http.StatusRequestEntityTooLarge, chestnutpond.ReasonBodyTooLarge,
+			"the payload may have at most " + itoa(kind.MaxBody) + " bytes",
+		}
+	}
+	declared, bad := declaredOf(req.Declared)
+	if bad != nil {
+		return chestnutpond.JobSpec{}, bad
+	}
+	region := e.regionFor(req, who.account)
+	shape := chestnutpond.Shape{Accelerators: req.Accelerators, Adjacency: req.Adjacency}
+	if bad := e.checkShape(shape, region); bad != nil {
+		return chestnutpond.JobSpec{}, bad
+	}
+	return chestnutpond.JobSpec{
+		ID: jobID(doc.Service, who.account.Name, c.Request().Header.Get(headerKey)), Service: doc.Service,
+		Account: who.account.Name, Caller: req.Caller, Kind: kind.Name, Class: kind.Class, Region: region,
+		Shape: shape, Declared: declared, Checkpoint: kind.Checkpoint, MaxAttempts: kind.MaxAttempts,
+		MaxRuntime: kind.MaxRuntime, Payload: req.Payload,
+	}, nil
+}
+
+func decodeJob(c echo.Context, doc chestnutpond.Document) (jobRequest, *badJob) {
+	limit := int64(maxJSON)
+	for _, k := range doc.Kinds {
+		// Base64 makes a payload a third longer.
+		limit = max(limit, k.MaxBody*4/3+maxJSON)
+	}
+	body, err := readBody(c, limit)
+	if errors.Is(err, errTooLarge) {
+		return jobRequest{}, &badJob{http.StatusRequestEntityTooLarge, chestnutpond.ReasonBodyTooLarge, err.Error()}
+	}
+	if err != nil {
+		return jobRequest{}, &badJob{http.StatusBadRequest, chestnutpond.ReasonBadBody, err.Error()}
+	}
+	var req jobRequest
+	decoder := json.NewDecoder(bytes.NewReader(body))
+	decoder.DisallowUnknownFields()
+	if err := decoder.Decode(&req); err != nil {
+		return jobRequest{}, &badJob{
+			http.StatusBadRequest, chestnutpond.ReasonBadBody,
+			"malformed JSON near byte " + itoa(decoder.InputOffset()) + ": " + err.Error(),
+		}
+	}
+	if len(c.Request().Header.Get(headerKey)) > maxKey || len(req.Caller) > maxCaller {
+		return jobRequest{}, &badJob{
+			http.StatusBadRequest, chestnutpond.ReasonBadBody, headerKey + " may have 256 bytes and caller 128 bytes",
+		}
+	}
+	return req, nil
+}
+
+func declaredOf(text string) (time.Duration, *badJob) {
+	if text == "" {
+		return 0, nil
+	}
+	d, err := time.ParseDuration(text)
+	if err != nil || d < 0 {
+		return 0, &badJob{http.StatusBadRequest, chestnutpond.ReasonBadBody, "declared: want a duration such as 2h30m"}
+	}
+	return d, nil
+}
+
+// regionFor returns the region asked for, or the account's first guaranteed
+// one, or the entry's own.
+func (e *Entry) regionFor(req jobRequest, account chestnutpond.Account) string {
+	if req.Region != "" {
+		return req.Region
+	}
+	for _, g := range account.Guarantees {
+		return g.Region
+	}
+	return e.cfg.Region
+}
+
+// checkShape rejects a shape that the region's workers could not hold even if
+// they were all free. Silent workers count, because they may come back.
+func (e *Entry) checkShape(shape chestnutpond.Shape, region string) *badJob {
+	if shape.Accelerators <= 0 {
+		return &badJob{http.StatusUnprocessableEntity, chestnutpond.ReasonBadShape, "accelerators must be above zero"}
+	}
+	if !shape.Adjacency.Valid() {
+		return &badJob{
+			http.StatusUnprocessableEntity, chestnutpond.ReasonBadShape, "adjacency must be worker, rack or zone",
+		}
+	}
+	most := 0
+	sums := make(map[string]int)
+	for _, row := range e.group.Rows() {
+		m := row.Member
+		if m.GetRegion() != region {
+			continue
+		}
+		place := m.GetZone()
+		switch shape.Adjacency {
+		case chestnutpond.AdjacencyWorker:
+			place = m.GetName()
+		case chestnutpond.AdjacencyRack:
+			place += "/" + m.GetRack()
+		}
+		sums[place] += int(m.GetAccelerators())
+		most = max(most, sums[place])
+	}
+	if most == 0 {
+		return &badJob{http.StatusUnprocessableEntity, chestnutpond.ReasonBadShape, "region " + region + " has no workers"}
+	}
+	if shape.Accelerators > most {
+		return &badJob{
+			http.StatusUnprocessableEntity, chestnutpond.ReasonBadShape,
+			"no " + string(shape.Adjacency) + " of region " + region + " has more than " + itoa(int64(most)) + " accelerators",
+		}
+	}
+	return nil
+}
+
+// jobID derives the id from the account's key, so that a repeated submission
+// through any entry names the same job. Without a key it is random.
+func jobID(service, account, key string) chestnutpond.JobID {
+	if key == "" {
+		key = rand.Text()
+	}
+	sum := sha256.Sum256([]byte(service + "\x00" + account + "\x00" + key))
+	return chestnutpond.JobID(hex.EncodeToString(sum[:10]))
+}
+
+func (e *Entry) lookupJob(id chestnutpond.JobID) (job ledger.Job, ok bool) {
+	e.tail.View(func(st *ledger.State) { job, ok = st.Job(id) })
+	return job, ok
+}
+
+func (e *Entry) deleteJob(c echo.Context, who caller) error {
+	id := chestnutpond.JobID(c.Param("id"))
+	if job, ok := e.lookupJob(id); !ok || !who.sees(job) {
+		return reject(c, http.StatusNotFound, chestnutpond.ReasonUnknownJob, "no job "+string(id))
+	}
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(c.Request().Context()), acceptTimeout)
+	defer cancel()
+	err := e.tail.Append(ctx, ledger.CancelJob{Job: id})
+	job, _ := e.lookupJob(id)
+	switch {
+	case job.State == chestnutpond.JobCancelled || job.State == chestnutpond.JobStopping:
+		e.cfg.Events.Add(chestnutpond.Event{Kind: chestnutpond.EventCancelled, Job: id, Account: job.Spec.Account})
+		c.Response().Header().Set(headerOutcome, string(chestnutpond.OutcomeCancelled))
+		return c.JSON(http.StatusOK, accepted{Outcome: chestnutpond.OutcomeCancelled, ID: id, State: job.State})
+	case job.State.Final():
+		return reject(c, http.StatusConflict, chestnutpond.ReasonUnknownJob, "the job has ended: "+string(job.State))
+	case err == nil:
+		return reject(c, http.StatusConflict, chestnutpond.ReasonUnknownJob, "the job is "+string(job.State))
+	}
+	return fail(c, http.StatusGatewayTimeout, failure{
+		Outcome: chestnutpond.OutcomeUnknown, Reason: chestnutpond.ReasonLogUnavailable,
+		Detail: "cancel again until it is confirmed", ID: string(id),
+	})
+}
+
+// sees reports whether the caller may see the job.
+func (w caller) sees(job ledger.Job) bool {
+	return w.operator != "" || job.Spec.Account == w.account.Name
+}
+
+func itoa(n int64) string { return strconv.FormatInt(n, 10) }
--- /dev/null
+++ b/internal/node/entry/requests.go
@@ -0,0 +1,72 @@
+package entry
+
+import (
+	"net/http"
+	"time"
+
+	"github.com/labstack/echo/v4"
+
+	"github.com/chestnutpond/chestnutpond"
+	"github.com/chestnutpond/chestnutpond/internal/node/serve"
+)
+
+func (e *Entry) postRequest(c echo.Context, who caller) error {
+	doc, _ := e.current()
+	kind, ok := doc.Kind(c.Param("kind"))
+	if !ok || kind.Work != chestnutpond.WorkRequest {
+		return reject(c, http.StatusNotFound, chestnutpond.ReasonUnknownKind,
+			"kind "+c.Param("kind")+" is not a request kind of the service")
+	}
+	body, err := readBody(c, kind.MaxBody)
+	if err != nil {
+		return rejectBody(c, err, kind.MaxBody)
+	}
+	header := c.Request().Header
+	timeout, err := timeoutOf(header.Get(headerCallTimeout), kind.Timeout)
+	if err != nil {
+		return reject(c, http.StatusBadRequest, chestnutpond.ReasonBadBody, headerCallTimeout+": "+err.Error())
+	}
+	key, name := header.Get(headerKey), header.Get(headerCaller)
+	if len(key) > maxKey || len(name) > maxCaller {
+		return reject(c, http.StatusBadRequest, chestnutpond.ReasonBadBody,
+			headerKey+" may have 256 bytes and "+headerCaller+" 128 bytes")
+	}
+	request := serve.Request{
+		ID: serve.NewID(), Account: who.account.Name, Caller: name, Kind: kind,
+		Key: key, Body: body, Timeout: timeout,
+	}
+	return answer(c, request.ID, e.serve.Do(c.Request().Context(), request))
+}
+
+// timeoutOf returns the caller's timeout, at most the kind's.
+func timeoutOf(text string, limit time.Duration) (time.Duration, error) {
+	if text == "" {
+		return limit, nil
+	}
+	d, err := time.ParseDuration(text)
+	if err != nil {
+		return 0, err
+	}
+	if d <= 0 {
+		return 0, Error.New("must be above zero")
+	}
+	return min(d, limit), nil
+}
+
+func answer(c echo.Context, id string, res serve.Result) error {
+	header := c.Response().Header()
+	header.Set(headerRequest, id)
+	if res.Upstream != "" {
+		header.Set(headerUpstream, res.Upstream)
+	}
+	switch res.Outcome {
+	case chestnutpond.OutcomeAnswered:
+		header.Set(headerOutcome, string(res.Outcome))
+		return c.Blob(res.Answer.Status, res.Answer.ContentType, res.Answer.Body)
+	case chestnutpond.OutcomeNotRun:
+		return failNotRun(c, res.Reason, res.Detail, res.RetryAfter)
+	case chestnutpond.OutcomeDuplicate:
+		return fail(c, http.StatusConflict, failure{Outcome: res.Outcome, Reason: res.Reason, Detail: res.Detail})
+	}
+	return fail(c, http.StatusGatewayTimeout, failure{Outcome: res.Outcome, Reason: res.Reason, Detail: res.Detail})
+}
--- a/internal/node/peers/group.go
+++ b/internal/node/peers/group.go
@@ -53,9 +53,7 @@
 	// Self is this entry as the others see it.
 	Self fleet.Peer
 	// Entries are inner addresses of entries known from the settings.
-	Entries []string
-	// Service names the service whose document agents get.
-	Service  string
+	Entries  []string
 	Dialer   Dialer
 	Tail     *tail.Tail
 	Listener Listener
@@ -129,6 +127,13 @@
 	return g.table.Get(name)
 }
 
+// Homed returns the number of agents whose home is this entry.
+func (g *Group) Homed() int {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.table.Homed()
+}
+
 // Peers returns the other entries, by name.
 func (g *Group) Peers() []fleet.Peer {
 	g.mu.Lock()
--- a/internal/node/peers/home.go
+++ b/internal/node/peers/home.go
@@ -167,7 +167,6 @@
 	reply := &inner.AnnounceReply{
 		Heartbeat: durationpb.New(interval),
 		Entries:   g.addresses(),
-		Service:   g.cfg.Service,
 	}
 	g.cfg.Tail.View(func(st *ledger.State) {
 		s.addConfig(reply, st)
@@ -179,10 +178,11 @@
 }
 
 func (s *session) addConfig(reply *inner.AnnounceReply, st *ledger.State) {
-	config, ok := st.Config(s.group.cfg.Service)
+	config, ok := st.Current()
 	if !ok {
 		return
 	}
+	reply.Service = config.Service
 	reply.ConfigVersion = config.Version
 	if config.Version > s.version && config.Version > s.sentVersion {
 		reply.Document = config.Document
--- a/internal/node/sched/attempt.go
+++ b/internal/node/sched/attempt.go
@@ -14,9 +14,9 @@
 	// recordStep bounds one wait for the log before the attempt looks at the
 	// state again.
 	recordStep = 2 * time.Second
-	// refusedPause keeps an attempt that was refused without blame from being
-	// placed again at once.
-	refusedPause = 200 * time.Millisecond
+	// retryPause is the time between two tries of a step. It also keeps an attempt
+	// that was refused without blame from being placed again at once.
+	retryPause = 200 * time.Millisecond
 	// watchEvery is how often a running attempt is looked at without news.
 	watchEvery = 500 * time.Millisecond
 )
@@ -108,7 +108,7 @@
 	}
 	if f := a.prepare(ctx); f != nil {
 		a.dropHolds(ctx)
-		sleep(ctx, refusedPause)
+		pause(ctx)
 		return ending{kind: endStartFailed, failure: *f}
 	}
 	recorded, final := a.record(ctx)
@@ -117,7 +117,7 @@
 		if final {
 			return ending{kind: endFinal}
 		}
-		sleep(ctx, refusedPause)
+		pause(ctx)
 		return ending{kind: endStartFailed, failure: place.Failure{Reason: "the start could not be recorded"}}
 	}
 	a.since = a.region.m.cfg.Members.Now()
@@ -263,12 +263,13 @@
 // put appends a record until it is in the fold, or the term is over.
 func (a *attempt) put(ctx context.Context, body ledger.Body) {
 	for ctx.Err() == nil && a.append(ctx, body) != nil {
-		sleep(ctx, refusedPause)
+		pause(ctx)
 	}
 }
 
-func sleep(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
+// pause waits for retryPause or until ctx ends.
+func pause(ctx context.Context) {
+	timer := time.NewTimer(retryPause)
 	defer timer.Stop()
 	select {
 	case <-ctx.Done():
--- a/internal/node/sched/calls.go
+++ b/internal/node/sched/calls.go
@@ -21,8 +21,6 @@
 	commitTimeout  = 500 * time.Millisecond
 	// stopGrace is added to the checkpoint time of a stop call.
 	stopGrace = time.Second
-	// haltPause is the time between two tries to stop a member.
-	haltPause = 200 * time.Millisecond
 )
 
 // memberCall is one call to the agent of one member.
--- a/internal/node/sched/halt.go
+++ b/internal/node/sched/halt.go
@@ -51,7 +51,7 @@
 		if h.allSure() {
 			return h.result(), true
 		}
-		sleep(ctx, haltPause)
+		pause(ctx)
 	}
 	return halted{}, false
 }
@@ -225,6 +225,6 @@
 		if err == nil {
 			return
 		}
-		sleep(ctx, refusedPause)
+		pause(ctx)
 	}
 }
