Stand-ins: count executions by body, and test that a renewed lease lapses

Cause: a caller that is told not_run may never learn the identity of its request, so its executions could not be found; and a trial change that dropped the timer of a renewed lease passed all tests.

Change: Upstream counts by the hash of the body, too; a contract case renews to 50 ms and expects the end.

Before: the trial change passed. After: go test -race ./internal/test/stand passes.

Conclusion: both gaps are closed.

--- a/internal/test/stand/upstream.go
+++ b/internal/test/stand/upstream.go
@@ -52,6 +52,9 @@
 type ExecutionsAnswer struct {
 	// Executions counts by request identity.
 	Executions map[string]int `json:"executions"`
+	// Bodies counts by the hash of the request body, as in Echo. A test that
+	// sends distinct bodies finds its requests without knowing their identities.
+	Bodies map[string]int `json:"bodies"`
 }
 
 // Upstream stands in for an upstream.
@@ -59,6 +62,8 @@
 	mu         sync.Mutex
 	faults     UpstreamFaults
 	executions map[string]int
+	// bodies counts by the hash of the request body.
+	bodies map[string]int
 	// changed is closed and replaced when the faults change.
 	changed chan struct{}
 }
@@ -72,7 +77,7 @@
 
 // NewUpstream returns an upstream that serves.
 func NewUpstream() *Upstream {
-	return &Upstream{executions: map[string]int{}, changed: make(chan struct{})}
+	return &Upstream{executions: map[string]int{}, bodies: map[string]int{}, changed: make(chan struct{})}
 }
 
 // EchoOf returns the answer that belongs to a call.
@@ -108,6 +113,13 @@
 	return maps.Clone(u.executions)
 }
 
+// Bodies returns the executions by the hash of the request body.
+func (u *Upstream) Bodies() map[string]int {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	return maps.Clone(u.bodies)
+}
+
 // Serve implements chestnutpond.Upstream.
 func (u *Upstream) Serve(ctx context.Context, call chestnutpond.Call) (chestnutpond.Answer, error) {
 	if err := ctx.Err(); err != nil {
@@ -122,7 +134,7 @@
 	if faults.Refuse {
 		return chestnutpond.Answer{}, &chestnutpond.NotSentError{Err: errRefused}
 	}
-	u.count(call.Request)
+	u.count(call)
 	var payload CallPayload
 	if err := json.Unmarshal(call.Body, &payload); err != nil {
 		payload = CallPayload{}
@@ -160,10 +172,11 @@
 	return mux
 }
 
-func (u *Upstream) count(request string) {
+func (u *Upstream) count(call chestnutpond.Call) {
 	u.mu.Lock()
 	defer u.mu.Unlock()
-	u.executions[request]++
+	u.executions[call.Request]++
+	u.bodies[EchoOf(call).XXHash64]++
 }
 
 func (u *Upstream) hang(ctx context.Context) error {
@@ -231,7 +244,7 @@
 }
 
 func (u *Upstream) serveExecutions(w http.ResponseWriter, _ *http.Request) {
-	writeJSON(w, http.StatusOK, ExecutionsAnswer{Executions: u.Executions()})
+	writeJSON(w, http.StatusOK, ExecutionsAnswer{Executions: u.Executions(), Bodies: u.Bodies()})
 }
 
 func answerJSON(status int, body any) (chestnutpond.Answer, error) {
--- a/internal/test/stand/worker_test.go
+++ b/internal/test/stand/worker_test.go
@@ -57,6 +57,11 @@
 			assert.NilError(t, w.Renew(limited(t), short.ID, lease))
 			assertEnds(t, w, chestnutpond.TaskStatus{Phase: chestnutpond.TaskCompleted, Reason: "done"})
 		},
+		"renewed lease lapses": func(t *testing.T, w chestnutpond.Worker, _ *stand.Worker) {
+			assert.NilError(t, w.Start(limited(t), spec(`{"run": "1h"}`)))
+			assert.NilError(t, w.Renew(limited(t), "j.1.0", 50*time.Millisecond))
+			assertEnds(t, w, chestnutpond.TaskStatus{Phase: chestnutpond.TaskStopped, Reason: "lease"})
+		},
 		"second start changes nothing": func(t *testing.T, w chestnutpond.Worker, s *stand.Worker) {
 			assert.NilError(t, w.Start(limited(t), spec(`{"run": "1h"}`)))
 			assert.NilError(t, w.Start(limited(t), spec(`{"run": "1ms"}`)))
