--- /dev/null
+++ b/internal/core/admit/prop_test.go
@@ -0,0 +1,234 @@
+package admit
+
+import (
+	"flag"
+	"fmt"
+	"math"
+	"os"
+	"slices"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"github.com/chestnutpond/chestnutpond"
+)
+
+var testClasses = []chestnutpond.Class{
+	chestnutpond.ClassUrgent, chestnutpond.ClassStandard, chestnutpond.ClassBulk, "other",
+}
+
+// TestMain fixes the seed of the property tests, so that every run gives the same
+// verdict. The flags of rapid still override it.
+func TestMain(m *testing.M) {
+	flag.Parse()
+	if f := flag.Lookup("rapid.seed"); f.Value.String() == f.DefValue {
+		_ = flag.Set("rapid.seed", "1")
+	}
+	fmt.Println("rapid seed", flag.Lookup("rapid.seed").Value)
+	os.Exit(m.Run())
+}
+
+// model is what the queue must hold; it fails the test when the queue differs.
+type model struct {
+	t                *rapid.T
+	waiting, running map[string]Item
+}
+
+func (m *model) leave(from map[string]Item, it Item) {
+	_, ok := from[it.ID]
+	assert.Assert(m.t, ok, "%s came out twice or was never in", it.ID)
+	delete(from, it.ID)
+}
+
+func (m *model) count(match func(it Item) bool) int {
+	n := 0
+	for _, it := range m.waiting {
+		if match(it) {
+			n++
+		}
+	}
+	return n
+}
+
+func (m *model) offer(q *Queue, now time.Duration, it Item) {
+	// The bounds by account, kind and caller leave expired requests out.
+	for _, it := range q.Expired(now) {
+		m.leave(m.waiting, it)
+	}
+	account := func(o Item) bool { return o.Account == it.Account }
+	kind := func(o Item) bool { return o.Kind == it.Kind && o.Class == it.Class }
+	mine := func(o Item) bool { return account(o) && o.Caller == it.Caller }
+	before := []int{m.count(account), m.count(kind), m.count(mine), len(m.waiting)}
+	v := q.Offer(now, it)
+	assert.Equal(m.t, v.Admitted, v.Reason == "")
+	assert.Assert(m.t, v.Admitted || len(v.Displaced) == 0)
+	for _, d := range v.Displaced {
+		m.leave(m.waiting, d)
+	}
+	if !v.Admitted {
+		return
+	}
+	m.waiting[it.ID] = it
+	after := []int{m.count(account), m.count(kind), m.count(mine), len(m.waiting)}
+	for i, limit := range []int{20, 12, 5, 24} {
+		// Requests that were put back may exceed a bound; an offer never does.
+		assert.Assert(m.t, after[i] <= max(limit, before[i]), "bound %d: %d of %d", i, after[i], limit)
+	}
+}
+
+// Guards against lost requests, requests that come out twice, and bounds that
+// are exceeded, in any order of calls.
+func TestQueueKeepsEveryRequestOnce(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		q := newTestQueue(Config{Limit: 24, KindLimit: 12, CallerLimit: 3})
+		m := &model{t: t, waiting: map[string]Item{}, running: map[string]Item{}}
+		now, next := time.Duration(0), 0
+		servable := func(kind string) bool { return kind != "z" }
+		for range rapid.IntRange(1, 200).Draw(t, "steps") {
+			now += time.Duration(rapid.IntRange(0, 300).Draw(t, "pause")) * time.Millisecond
+			id := fmt.Sprint(rapid.IntRange(0, next).Draw(t, "id"))
+			switch rapid.SampledFrom([]string{"offer", "offer", "offer", "next", "done", "back", "expired", "remove", "document"}).Draw(t, "step") {
+			case "offer":
+				next++
+				m.offer(q, now, Item{
+					ID:      fmt.Sprint(next),
+					Account: rapid.SampledFrom([]string{"a", "b"}).Draw(t, "account"),
+					Caller:  rapid.SampledFrom([]string{"", "c", "d", "e", "f"}).Draw(t, "caller"),
+					Kind:    rapid.SampledFrom([]string{"x", "y", "z"}).Draw(t, "kind"),
+					Class:   rapid.SampledFrom(testClasses[:3]).Draw(t, "class"), Deadline: now + 5*time.Second,
+				})
+			case "next":
+				if it, ok := q.Next(now, servable); ok {
+					m.leave(m.waiting, it)
+					m.running[it.ID] = it
+					assert.Assert(t, it.Kind != "z" && it.Deadline > now)
+				}
+			case "done":
+				q.Done(now, id, time.Duration(rapid.IntRange(0, 3000).Draw(t, "served"))*time.Millisecond)
+				delete(m.running, id)
+			case "back":
+				it, ok := m.running[id]
+				assert.Equal(t, q.PutBack(now, id), ok)
+				if ok {
+					delete(m.running, id)
+					m.waiting[id] = it
+				}
+			case "expired":
+				for _, it := range q.Expired(now) {
+					m.leave(m.waiting, it)
+				}
+			case "remove":
+				_, ok := m.waiting[id]
+				assert.Equal(t, q.Remove(id), ok)
+				delete(m.waiting, id)
+			case "document":
+				d := testDocument()
+				d.Accounts = d.Accounts[rapid.IntRange(0, 1).Draw(t, "gone"):]
+				q.SetDocument(d)
+			}
+			assert.Equal(t, q.Len(), len(m.waiting))
+			assert.Assert(t, q.known <= 3+len(m.waiting)+len(m.running))
+		}
+		for _, it := range q.Expired(math.MaxInt64) {
+			m.leave(m.waiting, it)
+		}
+		assert.Equal(t, len(m.waiting), 0)
+		assert.Equal(t, q.Len(), 0)
+	})
+}
+
+// Guards against an account or a caller that takes more than its share while
+// others wait, whatever classes and lengths its requests have.
+func TestSharesFollowWeights(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		q := newTestQueue(Config{})
+		served := map[string]float64{}
+		next, longest := 0, 0.0
+		fill := func(account, caller string, class chestnutpond.Class) {
+			next++
+			q.Offer(0, Item{ID: fmt.Sprint(next), Account: account, Caller: caller, Kind: "x", Class: class})
+		}
+		class := map[string]chestnutpond.Class{
+			"a": rapid.SampledFrom(testClasses).Draw(t, "class of a"), "b": rapid.SampledFrom(testClasses).Draw(t, "class of b"),
+		}
+		for range 3 {
+			fill("a", "a1", class["a"])
+			fill("a", "a2", class["a"])
+			fill("b", "b1", class["b"])
+		}
+		for range rapid.IntRange(1, 400).Draw(t, "requests") {
+			it, ok := q.Next(0, anyKind)
+			assert.Assert(t, ok)
+			took := time.Duration(rapid.IntRange(50, 2000).Draw(t, "took")) * time.Millisecond
+			longest = max(longest, took.Seconds())
+			served[it.Account] += took.Seconds()
+			served[it.Caller] += took.Seconds()
+			q.Done(0, it.ID, took)
+			fill(it.Account, it.Caller, it.Class)
+			// Weights 3 and 1 are 1.5 and 0.5 of their average. A lead and a
+			// credit are in requests of average length, at most the longest.
+			bound := (8 + 8 + 2) * max(longest, 0.5) * 2
+			assert.Assert(t, math.Abs(served["a"]/1.5-served["b"]/0.5) <= bound, "%v", served)
+			assert.Assert(t, math.Abs(served["a1"]-served["a2"]) <= bound, "%v", served)
+		}
+	})
+}
+
+// A full queue must take from the longest queue, never from a small caller.
+func TestOfferWhenFull(t *testing.T) {
+	item := func(id, account, caller, kind string) Item {
+		return Item{ID: id, Account: account, Caller: caller, Kind: kind, Class: chestnutpond.ClassBulk}
+	}
+	for name, c := range map[string]struct {
+		cfg       Config
+		fill      []Item
+		it        Item
+		reason    chestnutpond.Reason
+		displaced string
+	}{
+		"account unknown":          {it: item("n", "?", "c", "x"), reason: chestnutpond.ReasonNoConfig},
+		"kind unknown":             {it: item("n", "a", "c", "?"), reason: chestnutpond.ReasonUnknownKind},
+		"id in use":                {fill: []Item{item("n", "a", "c", "x")}, it: item("n", "a", "c", "x"), reason: chestnutpond.ReasonInProgress},
+		"caller full":              {cfg: Config{CallerShare: 0.05}, fill: []Item{item("1", "a", "c", "x")}, it: item("n", "a", "c", "y"), reason: chestnutpond.ReasonCallerLimit},
+		"total full, same caller":  {cfg: Config{Limit: 2}, fill: []Item{item("1", "a", "c", "x"), item("2", "a", "c", "x")}, it: item("n", "a", "c", "x"), reason: chestnutpond.ReasonQueueFull},
+		"total full, small caller": {cfg: Config{Limit: 2}, fill: []Item{item("1", "a", "c", "x"), item("2", "a", "c", "x")}, it: item("n", "a", "d", "x"), displaced: "2"},
+		"kind full, small account": {cfg: Config{KindLimit: 2}, fill: []Item{item("1", "a", "c", "x"), item("2", "a", "c", "x")}, it: item("n", "b", "d", "x"), displaced: "2"},
+		"kind full, even callers":  {cfg: Config{KindLimit: 2}, fill: []Item{item("1", "a", "c", "x"), item("2", "a", "d", "x")}, it: item("n", "b", "d", "x"), reason: chestnutpond.ReasonQueueFull},
+		"heavy account gives way":  {cfg: Config{Limit: 3}, fill: []Item{item("1", "b", "c", "x"), item("2", "b", "d", "x"), item("3", "b", "e", "x")}, it: item("n", "a", "c", "x"), displaced: "3"},
+		"deadline too near":        {it: Item{ID: "n", Account: "a", Kind: "x", Deadline: 10 * time.Millisecond}, reason: chestnutpond.ReasonDeadline},
+	} {
+		t.Run(name, func(t *testing.T) {
+			q := newTestQueue(c.cfg)
+			for _, it := range c.fill {
+				assert.Assert(t, q.Offer(0, it).Admitted)
+			}
+			v := q.Offer(10*time.Millisecond, c.it)
+			assert.Equal(t, v.Reason, c.reason)
+			assert.Equal(t, v.Admitted, c.reason == "")
+			ids := []string{}
+			for _, d := range v.Displaced {
+				ids = append(ids, d.ID)
+			}
+			assert.Assert(t, slices.Equal(ids, []string{c.displaced}) || c.displaced == "" && len(ids) == 0, "%v", ids)
+		})
+	}
+}
+
+// A request that would wait past its deadline must be refused on arrival.
+func TestOfferRefusesHopelessWait(t *testing.T) {
+	q := newTestQueue(Config{})
+	now := time.Duration(0)
+	for i := range 40 {
+		q.Offer(now, Item{ID: fmt.Sprint(i), Account: "a", Caller: "c", Kind: "x", Deadline: now + time.Hour})
+		if i%8 == 7 {
+			now += time.Second
+			it, _ := q.Next(now, anyKind)
+			q.Done(now, it.ID, time.Second)
+		}
+	}
+	v := q.Offer(now, Item{ID: "n", Account: "a", Caller: "c", Kind: "x", Deadline: now + 3*time.Second})
+	assert.Equal(t, v.Reason, chestnutpond.ReasonDeadline)
+	assert.Assert(t, v.RetryAfter >= 4*time.Second, "%v", v.RetryAfter)
+}
