--- /dev/null
+++ b/internal/core/fleet/fleet_test.go
@@ -0,0 +1,134 @@
+package fleet
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/chestnutpond/chestnutpond/internal/wire/inner"
+)
+
+func row(name string, incarnation, sequence int64) *inner.Member {
+	return &inner.Member{Name: name, Incarnation: incarnation, Sequence: sequence}
+}
+
+// TestOrder guards against a row that is replaced by an older one because that
+// one arrived later.
+func TestOrder(t *testing.T) {
+	tests := map[string]struct {
+		rows  []*inner.Member
+		wants [2]int64
+	}{
+		"ascending":           {[]*inner.Member{row("a", 1, 1), row("a", 1, 2)}, [2]int64{1, 2}},
+		"late":                {[]*inner.Member{row("a", 1, 2), row("a", 1, 1)}, [2]int64{1, 2}},
+		"new incarnation":     {[]*inner.Member{row("a", 1, 9), row("a", 2, 1)}, [2]int64{2, 1}},
+		"old incarnation":     {[]*inner.Member{row("a", 2, 1), row("a", 1, 9)}, [2]int64{2, 1}},
+		"repeated":            {[]*inner.Member{row("a", 1, 1), row("a", 1, 1)}, [2]int64{1, 1}},
+		"late and incarnated": {[]*inner.Member{row("a", 2, 3), row("a", 2, 1), row("a", 1, 5)}, [2]int64{2, 3}},
+	}
+	for name, tc := range tests {
+		t.Run(name, func(t *testing.T) {
+			table := New(Config{Self: "entry"})
+			for _, m := range tc.rows {
+				table.Learn(0, m, "other")
+			}
+			got, ok := table.Get("a")
+			assert.Assert(t, ok)
+			assert.Equal(t, got.Member.GetIncarnation(), tc.wants[0])
+			assert.Equal(t, got.Member.GetSequence(), tc.wants[1])
+		})
+	}
+}
+
+// TestExpire guards against a silent agent that stays in use, and against a
+// live one that is dropped because its home died.
+func TestExpire(t *testing.T) {
+	const limit = missedHeartbeats * minHeartbeat
+	noneLost := func(string) (time.Duration, bool) { return 0, false }
+	homeLost := func(string) (time.Duration, bool) { return time.Second, true }
+	tests := map[string]struct {
+		home string
+		now  time.Duration
+		lost func(string) (time.Duration, bool)
+		want int
+	}{
+		"own, heard":                {"self", limit, noneLost, 0},
+		"own, silent":               {"self", limit + 1, noneLost, 1},
+		"of a live entry":           {"other", time.Hour, noneLost, 0},
+		"of a lost entry, at first": {"other", time.Second + orphanAfter, homeLost, 0},
+		"of a lost entry, later":    {"other", time.Second + orphanAfter + 1, homeLost, 1},
+		"without a home, at first":  {"", orphanAfter, noneLost, 0},
+		"without a home, later":     {"", orphanAfter + 1, noneLost, 1},
+	}
+	for name, tc := range tests {
+		t.Run(name, func(t *testing.T) {
+			table := New(Config{Self: "self"})
+			table.Learn(0, row("a", 1, 1), tc.home)
+			lost := table.Expire(tc.now, tc.lost)
+			assert.Equal(t, len(lost), tc.want)
+			got, _ := table.Get("a")
+			assert.Equal(t, got.Usable(), tc.want == 0)
+		})
+	}
+}
+
+// TestSince guards against an exchange that sends rows of other homes, sends
+// unchanged rows again, or leaves a loss out.
+func TestSince(t *testing.T) {
+	table := New(Config{Self: "self"})
+	table.Hear(0, row("a", 1, 1))
+	table.Hear(0, row("b", 1, 1))
+	table.Learn(0, row("c", 1, 1), "other")
+	rows, next := table.Since(0)
+	assert.Equal(t, len(rows), 2)
+	rows, _ = table.Since(next)
+	assert.Equal(t, len(rows), 0)
+	table.Hear(0, row("b", 1, 2))
+	table.Lose(0, "a")
+	rows, _ = table.Since(next)
+	assert.Equal(t, len(rows), 2)
+	assert.Assert(t, rows[1].Lost)
+}
+
+// TestMove guards against an agent that flaps between its former and its new
+// home.
+func TestMove(t *testing.T) {
+	table := New(Config{Self: "self"})
+	table.Hear(0, row("a", 1, 1))
+	assert.Assert(t, table.Learn(0, row("a", 1, 2), "other"))
+	late := row("a", 1, 1)
+	late.Lost = true
+	assert.Assert(t, !table.Learn(0, late, "former"))
+	got, _ := table.Get("a")
+	assert.Equal(t, got.Home, "other")
+	assert.Assert(t, got.Usable())
+	assert.Equal(t, table.Homed(), 0)
+}
+
+// TestInterval guards against a home that takes in more heartbeats than its
+// budget when a region's agents all choose it.
+func TestInterval(t *testing.T) {
+	table := New(Config{Self: "self"})
+	for i := range 400 {
+		table.Hear(0, row(string(rune('a'+i)), 1, 1))
+	}
+	assert.Equal(t, table.Interval(), 10*time.Second)
+}
+
+// TestRank guards against two entries that both think they come first.
+func TestRank(t *testing.T) {
+	peers := []Peer{
+		{Name: "a", Region: "pampa"}, {Name: "b", Region: "pampa"}, {Name: "c", Region: "cuyo"},
+	}
+	ranks := make(map[int]string)
+	for _, self := range peers {
+		p := NewPeers(PeersConfig{Self: self, LostAfter: time.Second})
+		for _, other := range peers {
+			p.Heard(0, other)
+		}
+		ranks[p.Rank("pampa")] = self.Name
+	}
+	assert.Equal(t, len(ranks), 3)
+	assert.Equal(t, ranks[2], "c")
+}
