Request path tested under faults in virtual time

Cause: a request must never run twice, be called "not run" after a run, or get another's answer.

Ruled out: tests over sockets for this; the fault must hit a chosen message, so the tests hand calls over in memory.

Change: fault tables for the way to the agent and for repeated keys. They found one fault: the intent writer outlived its server by up to 5 s after a stop, and could write after the process said it was done. Run now waits for it, and the last write is bounded to 1 s.

Before: TestRepeatedKey/log_loses_all_answers ended with a live goroutine.

Conclusion: at-most-once holds in these cases, including two faults at once.

--- a/internal/node/serve/keys.go
+++ b/internal/node/serve/keys.go
@@ -25,6 +25,8 @@
 type keys struct {
 	server *Server
 	writer *writer
+	// ended is closed when run returned.
+	ended chan struct{}
 
 	// mu guards the fields below; it is taken after no other lock, and only the
 	// tail's lock is taken under it.
@@ -49,15 +51,19 @@
 }
 
 func newKeys(s *Server) *keys {
-	k := &keys{server: s, uses: make(map[string]*use)}
+	k := &keys{server: s, uses: make(map[string]*use), ended: make(chan struct{})}
 	k.writer = newWriter(s.cfg.Tail)
 	return k
 }
 
 func (k *keys) run(ctx context.Context) {
+	defer close(k.ended)
 	k.writer.loop(ctx)
 }
 
+// wait returns when run has returned.
+func (k *keys) wait() { <-k.ended }
+
 // do serves a request with a key.
 func (k *keys) do(ctx context.Context, r Request, deadline time.Duration) Result {
 	key := r.Account + "/" + r.Key
--- /dev/null
+++ b/internal/node/serve/serve_test.go
@@ -0,0 +1,170 @@
+package serve
+
+import (
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/chestnutpond/chestnutpond"
+	"github.com/chestnutpond/chestnutpond/internal/test/stand"
+)
+
+// TestFaultsOnTheWay guards against a request that runs twice although it must
+// not, an outcome "not run" of a request that ran, and an answer that is not
+// the request's own.
+func TestFaultsOnTheWay(t *testing.T) {
+	tests := map[string]struct {
+		faults []fault
+		kind   chestnutpond.Kind
+		want   chestnutpond.Outcome
+		runs   int
+	}{
+		"no fault":                            {nil, order, chestnutpond.OutcomeAnswered, 1},
+		"cut before, non-idempotent":          {[]fault{faultBefore}, order, chestnutpond.OutcomeAnswered, 1},
+		"cut before, idempotent":              {[]fault{faultBefore}, price, chestnutpond.OutcomeAnswered, 1},
+		"cut after, non-idempotent":           {[]fault{faultAfter}, order, chestnutpond.OutcomeAnswered, 1},
+		"cut after, idempotent":               {[]fault{faultAfter}, price, chestnutpond.OutcomeAnswered, 1},
+		"silent, non-idempotent":              {[]fault{faultSilent}, order, chestnutpond.OutcomeAnswered, 1},
+		"swapped answer":                      {[]fault{faultSwapped}, order, chestnutpond.OutcomeAnswered, 1},
+		"corrupt answer":                      {[]fault{faultCorrupt}, order, chestnutpond.OutcomeAnswered, 1},
+		"refused, non-idempotent":             {[]fault{faultRefused}, order, chestnutpond.OutcomeAnswered, 1},
+		"agent restarted, non-idempotent":     {[]fault{faultRestart}, order, chestnutpond.OutcomeUnknown, 1},
+		"agent restarted, idempotent":         {[]fault{faultRestart}, price, chestnutpond.OutcomeAnswered, 2},
+		"two faults, cut before and after":    {[]fault{faultBefore, faultAfter}, order, chestnutpond.OutcomeAnswered, 1},
+		"two faults, refused and swapped":     {[]fault{faultRefused, faultSwapped}, order, chestnutpond.OutcomeAnswered, 1},
+		"two faults, refused and restarted":   {[]fault{faultRefused, faultRestart}, order, chestnutpond.OutcomeUnknown, 1},
+		"refused each time, until the budget": {[]fault{faultRefused, faultRefused, faultRefused, faultRefused}, order, chestnutpond.OutcomeNotRun, 0},
+	}
+	for name, tc := range tests {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				ctx := t.Context()
+				w := newWorld(newAgent("a", tc.faults...))
+				s := w.addEntry(t, "entry", stand.NewLog("s"))
+				r := request(tc.kind, "")
+				res := s.Do(ctx, r)
+				time.Sleep(time.Minute)
+				assert.Equal(t, res.Outcome, tc.want, "detail %s", res.Detail)
+				assert.Equal(t, w.runs(r.ID), tc.runs)
+				if res.Outcome == chestnutpond.OutcomeAnswered {
+					assert.Equal(t, string(res.Answer.Body), "answer to "+r.ID)
+				}
+				assert.Equal(t, s.Open(), 0)
+			})
+		})
+	}
+}
+
+// TestRepeatedKey guards against a non-idempotent request that runs again when
+// its caller repeats it, through the same or another entry, under faults.
+func TestRepeatedKey(t *testing.T) {
+	tests := map[string]struct {
+		faults []fault
+		// down makes the first entry unreachable before the repeat.
+		down   bool
+		log    stand.LogFaults
+		first  chestnutpond.Outcome
+		second chestnutpond.Outcome
+		runs   int
+	}{
+		"answered":                    {first: "answered", second: "answered", runs: 1},
+		"owner is gone":               {down: true, first: "answered", second: "unknown", runs: 1},
+		"answer lost":                 {faults: []fault{faultAfter}, first: "answered", second: "answered", runs: 1},
+		"agent restarted":             {faults: []fault{faultRestart}, first: "unknown", second: "unknown", runs: 1},
+		"log down":                    {log: stand.LogFaults{Outage: true}, first: "not_run", second: "not_run"},
+		"log loses one answer":        {log: stand.LogFaults{LoseAnswers: 1}, first: "answered", second: "answered", runs: 1},
+		"log loses all answers":       {log: stand.LogFaults{LoseAnswers: -1}, first: "not_run", second: "not_run"},
+		"answer lost, owner is gone":  {faults: []fault{faultAfter}, down: true, first: "answered", second: "unknown", runs: 1},
+		"agent and owner are gone":    {faults: []fault{faultRestart}, down: true, first: "unknown", second: "unknown", runs: 1},
+		"not run, then run elsewhere": {faults: []fault{faultRefused, faultRefused, faultRefused}, first: "not_run", second: "answered", runs: 1},
+	}
+	for name, tc := range tests {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				ctx := t.Context()
+				log := stand.NewLog("s")
+				w := newWorld(newAgent("a", tc.faults...))
+				one := w.addEntry(t, "one", log)
+				two := w.addEntry(t, "two", log)
+				log.SetFaults(tc.log)
+				if tc.log.Outage {
+					time.Sleep(10 * time.Second)
+				}
+				first := one.Do(ctx, request(order, "key"))
+				time.Sleep(time.Second)
+				w.mu.Lock()
+				w.down["one"] = tc.down
+				w.mu.Unlock()
+				second := two.Do(ctx, request(order, "key"))
+				time.Sleep(time.Minute)
+				assert.Equal(t, first.Outcome, tc.first, "first: %s", first.Detail)
+				assert.Equal(t, second.Outcome, tc.second, "second: %s", second.Detail)
+				assert.Equal(t, w.allRuns(), tc.runs)
+				if first.Outcome == chestnutpond.OutcomeAnswered && second.Outcome == chestnutpond.OutcomeAnswered {
+					assert.Equal(t, string(second.Answer.Body), string(first.Answer.Body))
+				}
+			})
+		})
+	}
+}
+
+// TestKeyInParallel guards against two entries that send the same key at the
+// same time.
+func TestKeyInParallel(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx := t.Context()
+		log := stand.NewLog("s")
+		agent := newAgent("a")
+		agent.took = 300 * time.Millisecond
+		w := newWorld(agent)
+		entries := []*Server{w.addEntry(t, "one", log), w.addEntry(t, "two", log), w.addEntry(t, "three", log)}
+		var mu sync.Mutex
+		var bodies []string
+		var all sync.WaitGroup
+		for i := range 12 {
+			all.Go(func() {
+				res := entries[i%3].Do(ctx, request(order, "key"))
+				mu.Lock()
+				defer mu.Unlock()
+				bodies = append(bodies, string(res.Outcome)+string(res.Answer.Body))
+			})
+		}
+		all.Wait()
+		assert.Equal(t, w.allRuns(), 1)
+		for _, b := range bodies {
+			assert.Equal(t, b, bodies[0])
+		}
+	})
+}
+
+// TestDrain guards against a planned stop that cuts a request off.
+func TestDrain(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx := t.Context()
+		agent := newAgent("a")
+		agent.took = 3 * time.Second
+		w := newWorld(agent)
+		s := w.addEntry(t, "entry", stand.NewLog("s"))
+		results := make(chan Result, 20)
+		for range 20 {
+			go func() { results <- s.Do(ctx, request(price, "")) }()
+		}
+		time.Sleep(time.Second)
+		s.Drain(ctx)
+		refused := s.Do(ctx, request(price, ""))
+		assert.Equal(t, refused.Outcome, chestnutpond.OutcomeNotRun)
+		answered := 0
+		for range 20 {
+			if res := <-results; res.Outcome == chestnutpond.OutcomeAnswered {
+				answered++
+			} else {
+				assert.Equal(t, res.Outcome, chestnutpond.OutcomeNotRun)
+			}
+		}
+		assert.Assert(t, answered >= 8, "answered %d", answered)
+		assert.Equal(t, w.allRuns(), answered)
+	})
+}
--- a/internal/node/serve/server.go
+++ b/internal/node/serve/server.go
@@ -145,6 +145,7 @@
 // Run refuses expired requests and writes intents until ctx ends.
 func (s *Server) Run(ctx context.Context) error {
 	go s.keys.run(ctx)
+	defer s.keys.wait()
 	ticker := time.NewTicker(sweepEvery)
 	defer ticker.Stop()
 	for {
--- a/internal/node/serve/writer.go
+++ b/internal/node/serve/writer.go
@@ -16,6 +16,8 @@
 	batchEvery = 50 * time.Millisecond
 	// batchTimeout bounds one append; its requests are not sent after it.
 	batchTimeout = 5 * time.Second
+	// lastFlush bounds the write at the end of the process.
+	lastFlush = time.Second
 	// closedLimit bounds the ends that wait for the log. Beyond it the oldest
 	// are dropped: their keys stay taken, which is safe.
 	closedLimit = 8192
@@ -50,7 +52,7 @@
 	for {
 		select {
 		case <-ctx.Done():
-			w.flush(context.WithoutCancel(ctx))
+			w.flushLast(ctx)
 			return
 		case <-w.signal:
 		}
@@ -96,6 +98,14 @@
 	}
 }
 
+// flushLast writes what is left when the process stops. What does not get
+// through keeps its keys taken, which is safe.
+func (w *writer) flushLast(ctx context.Context) {
+	lctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), lastFlush)
+	defer cancel()
+	w.flush(lctx)
+}
+
 func (w *writer) flush(ctx context.Context) {
 	w.mu.Lock()
 	pending, closed := w.pending, w.closed
