Agent process: requests, gangs, announcement

Cause: the entry had no agent to talk to. Ruled out: a shared connection pool with the entry (a beat that gets no answer replaces its connection at once, while the entry probes first); a checkpoint of each member on its own (a part of the gang would run on alone for as long as the slowest checkpoint takes). Change: slots (attempts, fences, replies), gangs (reservations, tasks, leader), home (choice of entry) and aged (bounded memory with a minimum age) hold the decisions without sockets and goroutines. agent adds the goroutines, calls and the gRPC server, links the connections. The beat carries whether a member has saved, and its answer whether all have, so that a gang stops as one. Before: no package. Conclusion: ready to be wired to the entry.

--- /dev/null
+++ b/internal/core/gangs/table.go
@@ -0,0 +1,263 @@
+package gangs
+
+import (
+	"slices"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/chestnutpond/chestnutpond"
+	"github.com/chestnutpond/chestnutpond/internal/core/aged"
+	"github.com/chestnutpond/chestnutpond/internal/wire/inner"
+)
+
+// Config describes the agent that a table belongs to.
+type Config struct {
+	// Name and Incarnation are the agent's.
+	Name        string
+	Incarnation int64
+	// Region is the agent's; messages of another region's scheduler are stale.
+	Region string
+	// Accelerators is the number of accelerators of the worker.
+	Accelerators int
+	// Notify is called, without a lock held, after a change of the tasks. It
+	// must not block. It may be nil.
+	Notify func()
+}
+
+// Table holds the reservations, tasks and gangs of one agent.
+type Table struct {
+	cfg Config
+
+	mu sync.Mutex
+	// term is the highest term of the region seen so far.
+	term int64
+	// holds and tasks never share a key, and no two of them share an
+	// accelerator, ended tasks aside.
+	holds map[Key]*hold
+	tasks map[Key]*task
+	// leaders has an entry for each gang whose member 0 is in tasks.
+	leaders map[gangKey]*leader
+	// fences maps a job to its highest attempt that may not start here.
+	fences   *aged.Map[int64]
+	draining bool
+	// clean is true once the worker runs nothing of a former incarnation.
+	clean bool
+	// workerUp is false while the worker does not answer.
+	workerUp bool
+}
+
+// hold is a reservation that was not committed yet.
+type hold struct {
+	term         int64
+	accelerators []int32
+	expires      time.Time
+}
+
+// New returns an empty table. It grants nothing until SetClean.
+func New(cfg Config) *Table {
+	if cfg.Notify == nil {
+		cfg.Notify = func() {}
+	}
+	return &Table{
+		cfg:     cfg,
+		holds:   map[Key]*hold{},
+		tasks:   map[Key]*task{},
+		leaders: map[gangKey]*leader{},
+		fences:  aged.New[int64](aged.Config{Limit: MaxFences, MinAge: FenceAge}),
+	}
+}
+
+// SetClean records that the worker runs no task of a former incarnation.
+func (t *Table) SetClean() {
+	t.mu.Lock()
+	t.clean, t.workerUp = true, true
+	t.mu.Unlock()
+	t.cfg.Notify()
+}
+
+// Clean reports whether SetClean was called.
+func (t *Table) Clean() bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.clean
+}
+
+// SetWorkerUp records whether the worker answers.
+func (t *Table) SetWorkerUp(up bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.workerUp = up
+}
+
+// Drain refuses new reservations and commits from now on, and drops the
+// reservations that were not committed.
+func (t *Table) Drain() {
+	t.mu.Lock()
+	t.draining = true
+	clear(t.holds)
+	t.mu.Unlock()
+	t.cfg.Notify()
+}
+
+// Live returns the keys of the tasks that have not ended.
+func (t *Table) Live() []Key {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	var keys []Key
+	for key, task := range t.tasks {
+		if task.phase != ended {
+			keys = append(keys, key)
+		}
+	}
+	return keys
+}
+
+// Rows returns the reservations and tasks for the member row, in a fixed order.
+func (t *Table) Rows(now time.Time) []*inner.Task {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.expire(now)
+	rows := make([]*inner.Task, 0, len(t.holds)+len(t.tasks))
+	for key, h := range t.holds {
+		rows = append(rows, key.row(inner.TaskState_TASK_STATE_HELD, h.accelerators))
+	}
+	for key, task := range t.tasks {
+		row := key.row(task.state(), task.accelerators)
+		if task.phase == ended {
+			// An ended task owns no accelerators.
+			row.Accelerators = nil
+			row.Result = task.result
+		}
+		if task.phase >= stopping {
+			row.Reason = task.reason
+		}
+		row.Checkpoint = task.checkpoint()
+		rows = append(rows, row)
+	}
+	slices.SortFunc(rows, compareRows)
+	return rows
+}
+
+func (k Key) row(state inner.TaskState, accelerators []int32) *inner.Task {
+	return &inner.Task{
+		Job: k.Job, Attempt: k.Attempt, Member: k.Member,
+		State: state, Accelerators: slices.Clone(accelerators),
+	}
+}
+
+func compareRows(a, b *inner.Task) int {
+	if c := strings.Compare(a.GetJob(), b.GetJob()); c != 0 {
+		return c
+	}
+	if c := a.GetAttempt() - b.GetAttempt(); c != 0 {
+		return int(c)
+	}
+	return int(a.GetMember() - b.GetMember())
+}
+
+// Expire drops the reservations whose time is over, so that the row shows it.
+// Decisions do not depend on it.
+func (t *Table) Expire(now time.Time) {
+	t.mu.Lock()
+	before := len(t.holds)
+	t.expire(now)
+	changed := len(t.holds) != before
+	t.mu.Unlock()
+	if changed {
+		t.cfg.Notify()
+	}
+}
+
+// expire drops the reservations whose time is over.
+func (t *Table) expire(now time.Time) {
+	for key, h := range t.holds {
+		if !now.Before(h.expires) {
+			delete(t.holds, key)
+		}
+	}
+}
+
+// fenced reports whether the attempt may not start here.
+func (t *Table) fenced(job string, attempt int64) bool {
+	highest, ok := t.fences.Get(job)
+	return ok && attempt <= highest
+}
+
+// fence makes the attempt and all lower ones of the job unable to start here.
+// It returns false when that cannot be promised because the table is full.
+func (t *Table) fence(job string, attempt int64, now time.Time) bool {
+	if highest, ok := t.fences.Get(job); ok {
+		attempt = max(attempt, highest)
+	}
+	if !t.fences.Put(job, attempt, now) {
+		return false
+	}
+	for key := range t.holds {
+		if key.Job == job && key.Attempt <= attempt {
+			delete(t.holds, key)
+		}
+	}
+	return true
+}
+
+// Release drops the ended tasks with these ids, because their end is in the
+// log. Their attempts stay fenced.
+func (t *Table) Release(ids []string, now time.Time) {
+	released := make(map[chestnutpond.TaskID]bool, len(ids))
+	for _, id := range ids {
+		released[chestnutpond.TaskID(id)] = true
+	}
+	t.mu.Lock()
+	changed := false
+	for key, task := range t.tasks {
+		if task.phase == ended && released[key.Task()] && t.fence(key.Job, key.Attempt, now) {
+			t.forget(task)
+			changed = true
+		}
+	}
+	t.mu.Unlock()
+	if changed {
+		t.cfg.Notify()
+	}
+}
+
+// forget removes an ended task.
+func (t *Table) forget(task *task) {
+	task.over = true
+	wake(task.beat)
+	delete(t.tasks, task.key)
+	if task.key.Member == 0 {
+		delete(t.leaders, task.key.gang())
+	}
+}
+
+// trim drops the oldest stopped tasks beyond MaxStopped.
+func (t *Table) trim(now time.Time) {
+	var stopped []*task
+	for _, task := range t.tasks {
+		if task.phase == ended && task.end == inner.TaskState_TASK_STATE_STOPPED {
+			stopped = append(stopped, task)
+		}
+	}
+	if len(stopped) <= MaxStopped {
+		return
+	}
+	slices.SortFunc(stopped, func(a, b *task) int { return a.endedAt.Compare(b.endedAt) })
+	for _, task := range stopped[:len(stopped)-MaxStopped] {
+		if t.fence(task.key.Job, task.key.Attempt, now) {
+			t.forget(task)
+		}
+	}
+}
+
+// results returns the number of completed and failed tasks.
+func (t *Table) results() int {
+	n := 0
+	for _, task := range t.tasks {
+		if task.phase == ended && task.end != inner.TaskState_TASK_STATE_STOPPED {
+			n++
+		}
+	}
+	return n
+}
--- /dev/null
+++ b/internal/node/agent/announce.go
@@ -0,0 +1,290 @@
+package agent
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"time"
+
+	"github.com/cenkalti/backoff/v5"
+	"google.golang.org/protobuf/proto"
+
+	"github.com/chestnutpond/chestnutpond"
+	"github.com/chestnutpond/chestnutpond/internal/core/home"
+	"github.com/chestnutpond/chestnutpond/internal/wire/inner"
+)
+
+const (
+	// firstInterval is the heartbeat interval until an entry sets one.
+	firstInterval = time.Second
+	// minInterval and maxInterval bound what an entry may set.
+	minInterval = 100 * time.Millisecond
+	maxInterval = 10 * time.Minute
+	// minSilence is the least time after which a silent stream is given up.
+	minSilence = 3 * time.Second
+	// silentIntervals is the number of silent heartbeat intervals after which a
+	// stream is given up.
+	silentIntervals = 3
+	// firstRetry and lastRetry bound the jittered pause before the next stream.
+	firstRetry = 100 * time.Millisecond
+	lastRetry  = 3 * time.Second
+	// isolationLimit is how long an agent that no entry answers keeps its
+	// tasks, and isolationSlack the least time that it has after a silent
+	// stream to find another entry. A scheduler waits 29 s after the home entry
+	// declared the agent lost, which it does after the same silence, before it
+	// starts a gang again of which it can reach no member.
+	isolationLimit = 20 * time.Second
+	isolationSlack = 5 * time.Second
+)
+
+// announcer keeps one Announce stream to the home entry.
+type announcer struct {
+	agent *Agent
+	// settled is closed when the agent may announce itself.
+	settled chan struct{}
+
+	mu   sync.Mutex
+	list *home.List
+	// up is true while the open stream has been answered.
+	up       bool
+	interval time.Duration
+	// answered is the time of the newest answer of any entry, or of the start.
+	answered time.Time
+	// version and doc are the newest document; version never goes down.
+	version int64
+	doc     []byte
+	// row is the newest row. Its sequence grows with each change and is kept
+	// when the home entry changes.
+	row *inner.Member
+}
+
+func newAnnouncer(a *Agent) *announcer {
+	return &announcer{
+		agent:    a,
+		list:     home.New(a.cfg.Name, a.cfg.Entries),
+		interval: firstInterval,
+		answered: time.Now(),
+		settled:  make(chan struct{}),
+	}
+}
+
+// run opens a stream to one entry after another.
+func (n *announcer) run(ctx context.Context) error {
+	select {
+	case <-n.settled:
+	case <-ctx.Done():
+		return nil
+	}
+	retry := backoff.NewExponentialBackOff()
+	retry.InitialInterval, retry.MaxInterval = firstRetry, lastRetry
+	retry.Reset()
+	for ctx.Err() == nil {
+		if n.session(ctx) {
+			retry.Reset()
+		}
+		timer := time.NewTimer(retry.NextBackOff())
+		select {
+		case <-ctx.Done():
+		case <-timer.C:
+		}
+		timer.Stop()
+	}
+	return nil
+}
+
+// session holds one stream until it breaks or is silent, and reports whether
+// the entry answered on it.
+func (n *announcer) session(ctx context.Context) bool {
+	n.mu.Lock()
+	entry, ok := n.list.Next()
+	silence := n.silence()
+	n.mu.Unlock()
+	if !ok {
+		return false
+	}
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	// The watchdog also bounds the time to connect.
+	watchdog := time.AfterFunc(silence, cancel)
+	defer watchdog.Stop()
+	answered := false
+	if s, err := n.agent.net.Announce(ctx, entry); err == nil {
+		answered = n.converse(ctx, cancel, &listener{
+			announcer: n, entry: entry, stream: s, watchdog: watchdog,
+			cancel: cancel, done: make(chan struct{}),
+		})
+	}
+	n.mu.Lock()
+	n.up = false
+	n.list.Failed(entry)
+	n.mu.Unlock()
+	n.agent.meters.reconnects.Inc(1)
+	n.agent.cfg.Log.Info("agent: announce stream ended", "entry", entry, "answered", answered)
+	return answered
+}
+
+// converse sends on a stream until it ends and then waits for its listener.
+func (n *announcer) converse(ctx context.Context, cancel context.CancelFunc, l *listener) bool {
+	go l.run()
+	if err := (&speaker{announcer: n, stream: l.stream}).talk(ctx); err != nil {
+		n.agent.cfg.Log.Debug("agent: announce failed", "entry", l.entry, "error", err)
+	}
+	cancel()
+	l.stream.Close()
+	<-l.done
+	return l.answered
+}
+
+// silence is the time without an answer after which a stream is given up.
+func (n *announcer) silence() time.Duration {
+	return max(minSilence, silentIntervals*n.interval)
+}
+
+// isolated reports whether no entry has answered for too long.
+func (n *announcer) isolated(now time.Time) bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return now.Sub(n.answered) >= max(isolationLimit, n.silence()+isolationSlack)
+}
+
+func (n *announcer) connected() bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.up
+}
+
+func (n *announcer) document() (int64, []byte) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.version, n.doc
+}
+
+func (n *announcer) heartbeat() time.Duration {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.interval
+}
+
+// listener reads the answers on one stream.
+type listener struct {
+	announcer *announcer
+	entry     string
+	stream    stream
+	watchdog  *time.Timer
+	cancel    context.CancelFunc
+	// answered may be read once done has closed.
+	answered bool
+	done     chan struct{}
+}
+
+func (l *listener) run() {
+	defer close(l.done)
+	defer l.cancel()
+	for {
+		reply, err := l.stream.Recv()
+		if err != nil {
+			return
+		}
+		l.answered = true
+		l.watchdog.Reset(l.announcer.take(l.entry, reply))
+	}
+}
+
+// take applies an answer and returns how long the stream may be silent now.
+func (n *announcer) take(entry string, reply *inner.AnnounceReply) time.Duration {
+	n.agent.gangs.Release(reply.GetRelease(), time.Now())
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.up, n.answered = true, time.Now()
+	n.list.Good(entry)
+	n.list.Learn(reply.GetEntries())
+	if d := reply.GetHeartbeat().AsDuration(); d > 0 {
+		n.interval = min(max(d, minInterval), maxInterval)
+	}
+	if reply.GetConfigVersion() > n.version && len(reply.GetDocument()) > 0 {
+		n.version, n.doc = reply.GetConfigVersion(), reply.GetDocument()
+		n.agent.record(chestnutpond.Event{
+			Kind: chestnutpond.EventConfigInForce, Detail: fmt.Sprintf("version %d", n.version),
+		})
+		// The entry learns of the version in force from the next message.
+		n.agent.news.report()
+	}
+	return n.silence()
+}
+
+// current builds the agent's row and compares it with the newest one. A changed
+// row gets the next sequence, unless only the busy count differs and quiet is
+// true; then the newest row is returned with changeBusy.
+func (n *announcer) current(quiet bool) (*inner.Member, change) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	row := n.agent.member(time.Now())
+	c := compare(n.row, row)
+	if c == changeNone || c == changeBusy && quiet {
+		return n.row, c
+	}
+	row.Sequence = n.row.GetSequence() + 1
+	n.row = row
+	return row, c
+}
+
+// change says how two rows differ.
+type change uint8
+
+const (
+	changeNone change = iota
+	// changeBusy means that only the busy count differs.
+	changeBusy
+	changeRow
+)
+
+// compare ignores the sequences.
+func compare(old, row *inner.Member) change {
+	if old == nil {
+		return changeRow
+	}
+	row.Sequence = old.GetSequence()
+	if proto.Equal(old, row) {
+		return changeNone
+	}
+	busy := row.GetUpstream().GetBusy()
+	row.Upstream.Busy = old.GetUpstream().GetBusy()
+	same := proto.Equal(old, row)
+	row.Upstream.Busy = busy
+	if same {
+		return changeBusy
+	}
+	return changeRow
+}
+
+// member returns the agent's row without a sequence. An upstream that is down
+// has no slots, and accelerators count once the worker holds nothing of a former
+// incarnation.
+func (a *Agent) member(now time.Time) *inner.Member {
+	s := a.slots.Status()
+	m := &inner.Member{
+		Name:        a.cfg.Name,
+		Incarnation: a.cfg.Incarnation,
+		Address:     a.cfg.Advertise,
+		Region:      a.cfg.Region,
+		Zone:        a.cfg.Zone,
+		Rack:        a.cfg.Rack,
+		Draining:    s.Draining,
+		Tasks:       a.gangs.Rows(now),
+		Upstream: &inner.Upstream{
+			Connections: int32(a.cfg.Connections),
+			Kinds:       a.cfg.Kinds,
+			Busy:        int32(s.Busy),
+			Up:          s.Up,
+		},
+	}
+	if s.Up {
+		m.Upstream.Slots = int32(a.cfg.Slots)
+	}
+	if a.gangs.Clean() {
+		m.Accelerators = int32(a.cfg.Accelerators)
+	}
+	a.meters.busy.Update(int64(s.Busy))
+	a.meters.tasks.Update(int64(len(m.Tasks)))
+	return m
+}
--- /dev/null
+++ b/internal/node/agent/serve.go
@@ -0,0 +1,165 @@
+package agent
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"google.golang.org/grpc/codes"
+	"google.golang.org/grpc/status"
+
+	"github.com/chestnutpond/chestnutpond"
+	"github.com/chestnutpond/chestnutpond/internal/core/slots"
+	"github.com/chestnutpond/chestnutpond/internal/wire/inner"
+)
+
+// service holds the gRPC handlers.
+type service struct {
+	inner.UnimplementedAgentServer
+
+	agent *Agent
+}
+
+// Serve runs one request, or waits for an attempt that runs already. When the
+// caller's connection breaks, the attempt goes on and Resolve finds its answer.
+func (s *service) Serve(ctx context.Context, req *inner.ServeRequest) (*inner.ServeReply, error) {
+	if ctx.Err() != nil {
+		return nil, status.FromContextError(ctx.Err()).Err()
+	}
+	attempt, fresh := s.agent.slots.Begin(req, time.Now())
+	if fresh {
+		s.agent.enqueue(attempt)
+	}
+	select {
+	case <-attempt.Done():
+		reply := attempt.Reply()
+		s.agent.countReply(req, reply)
+		return reply, nil
+	case <-ctx.Done():
+		return nil, status.FromContextError(ctx.Err()).Err()
+	}
+}
+
+// countReply records a refusal or an answer.
+func (a *Agent) countReply(req *inner.ServeRequest, reply *inner.ServeReply) {
+	e := chestnutpond.Event{Request: req.GetRequest(), Account: req.GetAccount()}
+	if reply.GetOutcome() == inner.OutcomeCode_OUTCOME_CODE_NOT_RUN {
+		a.meters.refused.Inc(1)
+		e.Kind, e.Detail = chestnutpond.EventRefused, reply.GetReason()
+	} else {
+		a.meters.served.Inc(1)
+		e.Kind, e.Detail = chestnutpond.EventServed, reply.GetOutcome().String()
+	}
+	a.record(e)
+}
+
+// serveAttempt runs an admitted attempt on the upstream.
+func (a *Agent) serveAttempt(attempt *slots.Attempt) {
+	now := time.Now()
+	left := attempt.Deadline.Sub(now)
+	if left <= 0 {
+		reply := slots.NotRun(inner.Refusal_REFUSAL_DEADLINE, "the timeout passed before the start")
+		a.slots.Finish(attempt, reply, now)
+		return
+	}
+	ctx, cancel := context.WithDeadline(a.work, attempt.Deadline)
+	defer cancel()
+	answer, err := a.cfg.Upstream.Serve(ctx, chestnutpond.Call{
+		Request: attempt.Request, Kind: attempt.Kind, Body: attempt.Body, Timeout: left,
+	})
+	end := time.Now()
+	a.meters.serveTime.Update(end.Sub(now).Microseconds())
+	a.slots.Finish(attempt, a.judge(answer, err), end)
+}
+
+// judge turns the upstream's answer into a reply.
+func (a *Agent) judge(answer chestnutpond.Answer, err error) *inner.ServeReply {
+	var notSent *chestnutpond.NotSentError
+	switch {
+	case errors.As(err, &notSent):
+		// The upstream may be gone; the prober finds out at once.
+		select {
+		case a.probe <- struct{}{}:
+		default:
+		}
+		return slots.NotRun(inner.Refusal_REFUSAL_UPSTREAM_DOWN, err.Error())
+	case err != nil:
+		return slots.Unknown(err.Error())
+	}
+	return &inner.ServeReply{
+		Outcome:     inner.OutcomeCode_OUTCOME_CODE_ANSWERED,
+		Status:      int32(answer.Status),
+		ContentType: answer.ContentType,
+		Body:        answer.Body,
+	}
+}
+
+// Resolve tells what became of an attempt. An attempt that runs is waited for.
+func (s *service) Resolve(ctx context.Context, req *inner.ResolveRequest) (*inner.ServeReply, error) {
+	attempt := s.agent.slots.Resolve(req.GetAttempt(), req.GetFence(), time.Now())
+	timer := time.NewTimer(max(req.GetWait().AsDuration(), 0))
+	defer timer.Stop()
+	select {
+	case <-attempt.Done():
+		return attempt.Reply(), nil
+	case <-ctx.Done():
+		return nil, status.FromContextError(ctx.Err()).Err()
+	case <-timer.C:
+	}
+	select {
+	case <-attempt.Done():
+		return attempt.Reply(), nil
+	default:
+		return s.agent.slots.Running(attempt), nil
+	}
+}
+
+// Ping answers a probe of the connection that it came on.
+func (s *service) Ping(context.Context, *inner.PingRequest) (*inner.PingReply, error) {
+	return &inner.PingReply{Incarnation: s.agent.cfg.Incarnation}, nil
+}
+
+// Events returns recorded events, or none when the sink keeps none.
+func (s *service) Events(_ context.Context, req *inner.EventsRequest) (*inner.EventsReply, error) {
+	source, ok := s.agent.cfg.Events.(EventSource)
+	if !ok {
+		return &inner.EventsReply{}, nil
+	}
+	return source.Reply(req), nil
+}
+
+// Prepare reserves accelerators.
+func (s *service) Prepare(_ context.Context, req *inner.PrepareRequest) (*inner.PrepareReply, error) {
+	v := s.agent.gangs.Prepare(req, time.Now())
+	if v.OK {
+		s.agent.record(chestnutpond.Event{
+			Kind: chestnutpond.EventPrepared, Job: chestnutpond.JobID(req.GetJob()), Attempt: req.GetAttempt(),
+		})
+	}
+	return &inner.PrepareReply{Held: v.OK, Refusal: v.Refusal, Reason: v.Reason}, nil
+}
+
+// Commit turns a reservation into a task that waits at the gang's barrier.
+func (s *service) Commit(_ context.Context, req *inner.CommitRequest) (*inner.CommitReply, error) {
+	v := s.agent.commit(req, time.Now())
+	return &inner.CommitReply{Committed: v.OK, Refusal: v.Refusal, Reason: v.Reason}, nil
+}
+
+// Beat answers a member of a gang that this agent leads.
+func (s *service) Beat(_ context.Context, req *inner.BeatRequest) (*inner.BeatReply, error) {
+	return s.agent.gangs.Hear(req, time.Now()), nil
+}
+
+// Stop ends a task and waits for its end as long as the caller does.
+func (s *service) Stop(ctx context.Context, req *inner.StopRequest) (*inner.StopReply, error) {
+	stop := s.agent.gangs.Stop(req, time.Now())
+	if stop.Done == nil {
+		return stop.Reply, nil
+	}
+	select {
+	case <-stop.Done:
+	case <-ctx.Done():
+		return nil, status.Error(codes.DeadlineExceeded, "the task has not stopped yet")
+	}
+	return s.agent.stopReply(req, stop.Fenced), nil
+}
--- /dev/null
+++ b/internal/node/agent/serve_test.go
@@ -0,0 +1,196 @@
+package agent
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"google.golang.org/protobuf/types/known/durationpb"
+	"gotest.tools/v3/assert"
+
+	"github.com/chestnutpond/chestnutpond"
+	"github.com/chestnutpond/chestnutpond/internal/wire/inner"
+)
+
+// Guards invariants 4 and 5: each refusal names its reason, and a refused
+// attempt never reaches the upstream, nor does its repeat.
+func TestServeRefusals(t *testing.T) {
+	occupy := func(w *world) {
+		w.upstreams[0].takes = time.Second
+		for _, id := range []string{"b1", "b2"} {
+			go func() { _, _ = w.svc(0).Serve(w.t.Context(), serveReq(id, "x")) }()
+		}
+		synctest.Wait()
+	}
+	cases := map[string]struct {
+		prepare func(w *world)
+		change  func(req *inner.ServeRequest)
+		want    inner.Refusal
+	}{
+		"draining": {
+			prepare: func(w *world) { occupy(w); w.cancels[0](); synctest.Wait() },
+			want:    inner.Refusal_REFUSAL_DRAINING,
+		},
+		"no slot": {prepare: occupy, want: inner.Refusal_REFUSAL_NO_SLOT},
+		"kind": {
+			change: func(req *inner.ServeRequest) { req.Kind = "other" },
+			want:   inner.Refusal_REFUSAL_KIND,
+		},
+		"upstream down": {
+			prepare: func(w *world) {
+				w.upstreams[0].mu.Lock()
+				w.upstreams[0].down = true
+				w.upstreams[0].mu.Unlock()
+				time.Sleep(2 * time.Second)
+			},
+			want: inner.Refusal_REFUSAL_UPSTREAM_DOWN,
+		},
+		"not sent": {
+			prepare: func(w *world) { w.upstreams[0].err = &chestnutpond.NotSentError{Err: errCut} },
+			want:    inner.Refusal_REFUSAL_UPSTREAM_DOWN,
+		},
+		"fenced": {
+			prepare: func(w *world) {
+				_, err := w.svc(0).Resolve(w.t.Context(), &inner.ResolveRequest{Attempt: "a1", Fence: true})
+				assert.NilError(w.t, err)
+			},
+			want: inner.Refusal_REFUSAL_FENCED,
+		},
+		"corrupt": {
+			change: func(req *inner.ServeRequest) { req.Digest++ },
+			want:   inner.Refusal_REFUSAL_CORRUPT,
+		},
+		"timeout passed": {
+			change: func(req *inner.ServeRequest) { req.Timeout = durationpb.New(0) },
+			want:   inner.Refusal_REFUSAL_DEADLINE,
+		},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				w := newWorld(t, 1)
+				defer w.stop()
+				if c.prepare != nil {
+					c.prepare(w)
+				}
+				req := serveReq("a1", "body")
+				if c.change != nil {
+					c.change(req)
+				}
+				for range 2 {
+					reply, err := w.svc(0).Serve(t.Context(), req)
+					assert.NilError(t, err)
+					assert.Equal(t, reply.GetOutcome(), inner.OutcomeCode_OUTCOME_CODE_NOT_RUN)
+					assert.Equal(t, reply.GetRefusal(), c.want)
+					assert.Equal(t, reply.GetRequest(), "r-a1")
+				}
+				// The upstream that reports that nothing was sent was asked once.
+				seen := 0
+				for _, r := range w.upstreams[0].calls {
+					if r == "r-a1" {
+						seen++
+					}
+				}
+				assert.Assert(t, seen == 0 || name == "not sent" && seen == 1)
+			})
+		})
+	}
+}
+
+// Guards the answer itself, and that the same attempt runs once however often
+// and from however many connections it is sent.
+func TestServeRunsOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld(t, 1)
+		defer w.stop()
+		w.upstreams[0].takes = time.Second
+		replies := make(chan *inner.ServeReply, 3)
+		for range 3 {
+			go func() {
+				reply, err := w.svc(0).Serve(t.Context(), serveReq("a1", "body"))
+				assert.Check(t, err)
+				replies <- reply
+			}()
+		}
+		for range 3 {
+			reply := <-replies
+			assert.Equal(t, reply.GetOutcome(), inner.OutcomeCode_OUTCOME_CODE_ANSWERED)
+			assert.Equal(t, string(reply.GetBody()), "body")
+			assert.Equal(t, reply.GetDigest(), xxhash.Sum64String("body"))
+			assert.Equal(t, reply.GetBusy(), int32(0))
+		}
+		assert.DeepEqual(t, w.upstreams[0].calls, []string{"r-a1"})
+	})
+}
+
+// Guards against an answer lost with its connection: the call goes on, and
+// Resolve on another connection gets the answer.
+func TestServeSurvivesItsConnection(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld(t, 1)
+		defer w.stop()
+		w.upstreams[0].takes = 3 * time.Second
+		ctx, cancel := context.WithTimeout(t.Context(), time.Second)
+		defer cancel()
+		_, err := w.svc(0).Serve(ctx, serveReq("a1", "body"))
+		assert.ErrorContains(t, err, "DeadlineExceeded")
+		resolve := &inner.ResolveRequest{Attempt: "a1", Fence: true, Wait: durationpb.New(time.Second)}
+		reply, err := w.svc(0).Resolve(t.Context(), resolve)
+		assert.NilError(t, err)
+		assert.Equal(t, reply.GetOutcome(), inner.OutcomeCode_OUTCOME_CODE_RUNNING)
+		assert.Equal(t, reply.GetBusy(), int32(1))
+		resolve.Wait = durationpb.New(2 * time.Second)
+		reply, err = w.svc(0).Resolve(t.Context(), resolve)
+		assert.NilError(t, err)
+		assert.Equal(t, string(reply.GetBody()), "body")
+	})
+}
+
+// Guards the outcomes of Resolve for attempts that the agent does not know, and
+// the outcome of a call that broke or ran out of time after it was sent.
+func TestResolve(t *testing.T) {
+	cases := map[string]struct {
+		serve   bool
+		takes   time.Duration
+		err     error
+		fence   bool
+		outcome inner.OutcomeCode
+		refusal inner.Refusal
+	}{
+		"unknown": {
+			outcome: inner.OutcomeCode_OUTCOME_CODE_UNKNOWN,
+			refusal: inner.Refusal_REFUSAL_UNKNOWN_ATTEMPT,
+		},
+		"fenced": {
+			fence: true, outcome: inner.OutcomeCode_OUTCOME_CODE_NOT_RUN, refusal: inner.Refusal_REFUSAL_FENCED,
+		},
+		"answered":             {serve: true, outcome: inner.OutcomeCode_OUTCOME_CODE_ANSWERED},
+		"answered and fence":   {serve: true, fence: true, outcome: inner.OutcomeCode_OUTCOME_CODE_ANSWERED},
+		"broken after sending": {serve: true, err: errCut, outcome: inner.OutcomeCode_OUTCOME_CODE_UNKNOWN},
+		"broken and fence":     {serve: true, err: errCut, fence: true, outcome: inner.OutcomeCode_OUTCOME_CODE_UNKNOWN},
+		"ran out of time":      {serve: true, takes: time.Hour, outcome: inner.OutcomeCode_OUTCOME_CODE_UNKNOWN},
+		"not sent": {
+			serve: true, err: &chestnutpond.NotSentError{Err: errCut},
+			outcome: inner.OutcomeCode_OUTCOME_CODE_NOT_RUN, refusal: inner.Refusal_REFUSAL_UPSTREAM_DOWN,
+		},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				w := newWorld(t, 1)
+				defer w.stop()
+				w.upstreams[0].takes, w.upstreams[0].err = c.takes, c.err
+				if c.serve {
+					_, err := w.svc(0).Serve(t.Context(), serveReq("a1", "body"))
+					assert.NilError(t, err)
+				}
+				reply, err := w.svc(0).Resolve(t.Context(), &inner.ResolveRequest{Attempt: "a1", Fence: c.fence})
+				assert.NilError(t, err)
+				assert.Equal(t, reply.GetOutcome(), c.outcome)
+				assert.Equal(t, reply.GetRefusal(), c.refusal)
+			})
+		})
+	}
+}
--- /dev/null
+++ b/internal/node/agent/socket_test.go
@@ -0,0 +1,148 @@
+package agent
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"log/slog"
+	"net"
+	"sync"
+	"testing"
+	"time"
+
+	metrics "github.com/rcrowley/go-metrics"
+	"google.golang.org/grpc"
+	"google.golang.org/grpc/credentials/insecure"
+	"google.golang.org/protobuf/types/known/durationpb"
+	"gotest.tools/v3/assert"
+	"gotest.tools/v3/poll"
+
+	"github.com/chestnutpond/chestnutpond/internal/wire/inner"
+)
+
+// socketEntry is an entry on a real socket that records the rows.
+type socketEntry struct {
+	inner.UnimplementedEntryServer
+
+	mu   sync.Mutex
+	rows map[string]*inner.Member
+}
+
+func (e *socketEntry) Announce(s grpc.BidiStreamingServer[inner.AnnounceRequest, inner.AnnounceReply]) error {
+	for {
+		req, err := s.Recv()
+		if errors.Is(err, io.EOF) {
+			return nil
+		}
+		if err != nil {
+			return err
+		}
+		if m := req.GetMember(); m != nil {
+			e.mu.Lock()
+			e.rows[m.GetName()] = m
+			e.mu.Unlock()
+		}
+		reply := &inner.AnnounceReply{
+			Heartbeat: durationpb.New(time.Second), ConfigVersion: 7, Document: []byte("schema: 1"),
+		}
+		if err := s.Send(reply); err != nil {
+			return err
+		}
+	}
+}
+
+func (e *socketEntry) row(name string) *inner.Member {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.rows[name]
+}
+
+func until(t *testing.T, what string, ok func() bool) {
+	t.Helper()
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		if ok() {
+			return poll.Success()
+		}
+		return poll.Continue("waiting for %s", what)
+	}, poll.WithTimeout(20*time.Second), poll.WithDelay(10*time.Millisecond))
+}
+
+// Guards the path over real sockets: dialing, streams, a gang of two agents that
+// beat to each other, and a drain that ends Run.
+func TestLoopback(t *testing.T) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	entry := &socketEntry{rows: map[string]*inner.Member{}}
+	server := grpc.NewServer()
+	inner.RegisterEntryServer(server, entry)
+	go func() { _ = server.Serve(listener) }()
+	defer server.Stop()
+
+	var agents []*Agent
+	var workers []*fakeWorker
+	var ended []chan error
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	for i := range 2 {
+		worker := newFakeWorker()
+		a, err := New(Config{
+			Name: fmt.Sprintf("agent-%d", i), Region: "pampa", Incarnation: 1, InnerListen: "127.0.0.1:0",
+			Entries: []string{listener.Addr().String()}, Accelerators: 8, Slots: 2, Kinds: []string{"price_list"},
+			Worker: worker, Upstream: &fakeUpstream{}, Events: noEvents{},
+			Metrics: metrics.NewRegistry(), Log: slog.New(slog.DiscardHandler),
+		})
+		assert.NilError(t, err)
+		done := make(chan error, 1)
+		go func() { done <- a.Run(ctx) }()
+		agents, workers, ended = append(agents, a), append(workers, worker), append(ended, done)
+	}
+	var gang []*inner.GangMember
+	var clients []inner.AgentClient
+	for i, a := range agents {
+		until(t, "the agent", func() bool { return a.Ready() && a.ConfigVersion() == 7 })
+		conn, err := grpc.NewClient(a.Addr(), grpc.WithTransportCredentials(insecure.NewCredentials()))
+		assert.NilError(t, err)
+		defer func() { _ = conn.Close() }()
+		clients = append(clients, inner.NewAgentClient(conn))
+		gang = append(gang, &inner.GangMember{
+			Member: int32(i), Agent: fmt.Sprintf("agent-%d", i), Incarnation: 1, Address: a.Addr(), Accelerators: []int32{0, 1},
+		})
+	}
+	until(t, "the upstream", func() bool { return entry.row("agent-0").GetUpstream().GetUp() })
+	answer, err := clients[0].Serve(ctx, serveReq("a1", "body"))
+	assert.NilError(t, err)
+	assert.Equal(t, string(answer.GetBody()), "body")
+
+	for i, c := range clients {
+		reply, err := c.Prepare(ctx, &inner.PrepareRequest{
+			Region: "pampa", Term: 1, Job: "j", Attempt: 1, Member: int32(i),
+			Accelerators: []int32{0, 1}, HoldTtl: durationpb.New(3 * time.Second), Incarnation: 1,
+		})
+		assert.NilError(t, err)
+		assert.Assert(t, reply.GetHeld(), reply.GetReason())
+	}
+	for i, c := range clients {
+		reply, err := c.Commit(ctx, &inner.CommitRequest{
+			Region: "pampa", Term: 1, Job: "j", Attempt: 1, Member: int32(i), Gang: gang,
+		})
+		assert.NilError(t, err)
+		assert.Assert(t, reply.GetCommitted(), reply.GetReason())
+	}
+	running := func(i int) bool {
+		s, ok := workers[i].span(taskID(1, i))
+		return ok && s.open
+	}
+	until(t, "the start", func() bool { return running(0) && running(1) })
+	stop, err := clients[1].Stop(ctx, &inner.StopRequest{
+		Region: "pampa", Term: 1, Job: "j", Attempt: 1, Member: 1, Fence: true,
+	})
+	assert.NilError(t, err)
+	assert.Assert(t, stop.GetStopped())
+	until(t, "the other member's stop", func() bool { return !running(0) })
+	cancel()
+	for _, done := range ended {
+		assert.NilError(t, <-done)
+	}
+	assert.Assert(t, entry.row("agent-0").GetDraining())
+}
--- /dev/null
+++ b/internal/node/agent/stop_test.go
@@ -0,0 +1,209 @@
+package agent
+
+import (
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"google.golang.org/protobuf/types/known/durationpb"
+	"gotest.tools/v3/assert"
+
+	"github.com/chestnutpond/chestnutpond"
+	"github.com/chestnutpond/chestnutpond/internal/wire/inner"
+)
+
+func (w *world) stopReq(i int, attempt int64, checkpoint time.Duration, fence bool) *inner.StopRequest {
+	return &inner.StopRequest{
+		Region: "pampa", Term: 1, Job: "j", Attempt: attempt, Member: int32(i),
+		Checkpoint: durationpb.New(checkpoint), Fence: fence, Reason: "asked to",
+	}
+}
+
+// Guards the checkpoint of a whole gang: members that have saved go on until the
+// slowest has, so that no part runs alone; after the limit all stop hard and
+// report no checkpoint.
+func TestStopWithCheckpoint(t *testing.T) {
+	cases := map[string]struct {
+		saves [2]time.Duration
+		ends  time.Duration
+		saved bool
+	}{
+		"in time":       {saves: [2]time.Duration{time.Second, 4 * time.Second}, ends: 4 * time.Second, saved: true},
+		"one too slow":  {saves: [2]time.Duration{time.Second, time.Hour}, ends: 10 * time.Second},
+		"both too slow": {saves: [2]time.Duration{time.Hour, time.Hour}, ends: 10 * time.Second},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				w := newWorld(t, 2)
+				defer w.stop()
+				w.addEntry("entry-a")
+				time.Sleep(5 * time.Second)
+				w.launch(2, 1)
+				time.Sleep(5 * time.Second)
+				replies := make(chan *inner.StopReply, 2)
+				for i := range 2 {
+					w.workers[i].saveTime = c.saves[i]
+					go func() {
+						reply, err := w.svc(i).Stop(t.Context(), w.stopReq(i, 1, 10*time.Second, true))
+						assert.Check(t, err)
+						replies <- reply
+					}()
+				}
+				time.Sleep(c.ends - 100*time.Millisecond)
+				assert.Equal(t, w.running(2, 1), 2)
+				time.Sleep(1100 * time.Millisecond)
+				assert.Equal(t, w.running(2, 1), 0)
+				for range 2 {
+					reply := <-replies
+					assert.Assert(t, reply.GetStopped())
+					assert.Equal(t, reply.GetState(), inner.TaskState_TASK_STATE_STOPPED)
+					assert.Equal(t, reply.GetCheckpoint() != "", c.saved)
+				}
+			})
+		})
+	}
+}
+
+// Guards the answers to Stop: "stopped" is said only when the attempt does not
+// run and can start no more.
+func TestStopAnswers(t *testing.T) {
+	cases := map[string]struct {
+		prepare func(w *world)
+		change  func(req *inner.StopRequest)
+		stopped bool
+		refusal inner.Refusal
+	}{
+		"unknown": {refusal: inner.Refusal_REFUSAL_UNKNOWN_ATTEMPT},
+		"unknown and fenced": {
+			change: func(req *inner.StopRequest) { req.Fence = true }, stopped: true,
+		},
+		"fenced before": {
+			prepare: func(w *world) {
+				_, err := w.svc(0).Stop(w.t.Context(), w.stopReq(0, 5, 0, true))
+				assert.NilError(w.t, err)
+			},
+			stopped: true,
+		},
+		"reservation": {
+			prepare: func(w *world) {
+				_, err := w.svc(0).Prepare(w.t.Context(), w.prepareReq(0, 1))
+				assert.NilError(w.t, err)
+			},
+			refusal: inner.Refusal_REFUSAL_UNKNOWN_ATTEMPT,
+		},
+		"running": {
+			prepare: func(w *world) { w.launch(1, 1); time.Sleep(time.Second) },
+			stopped: true,
+		},
+		"old term": {
+			prepare: func(w *world) { w.launch(1, 1); time.Sleep(time.Second) },
+			change:  func(req *inner.StopRequest) { req.Term = 0 },
+			refusal: inner.Refusal_REFUSAL_STALE,
+		},
+		"other region": {
+			change:  func(req *inner.StopRequest) { req.Region, req.Fence = "cuyo", true },
+			refusal: inner.Refusal_REFUSAL_STALE,
+		},
+		"completed": {
+			prepare: func(w *world) {
+				w.launch(1, 1)
+				time.Sleep(time.Second)
+				w.workers[0].end(taskID(1, 0), chestnutpond.TaskCompleted, "ok")
+				time.Sleep(time.Second)
+			},
+			stopped: true,
+		},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				w := newWorld(t, 1)
+				defer w.stop()
+				w.addEntry("entry-a")
+				time.Sleep(5 * time.Second)
+				if c.prepare != nil {
+					c.prepare(w)
+				}
+				req := w.stopReq(0, 1, 0, false)
+				if c.change != nil {
+					c.change(req)
+				}
+				reply, err := w.svc(0).Stop(t.Context(), req)
+				assert.NilError(t, err)
+				assert.Equal(t, reply.GetStopped(), c.stopped)
+				assert.Equal(t, reply.GetRefusal(), c.refusal)
+				assert.Equal(t, reply.GetResult() == "ok", name == "completed")
+				assert.Equal(t, w.running(1, 1) == 1, name == "old term")
+			})
+		})
+	}
+}
+
+// Guards a planned stop of an agent: open requests finish, tasks run on so that
+// the scheduler can move them, and what is left is saved and stopped within
+// drain_limit.
+func TestDrain(t *testing.T) {
+	cases := map[string]struct {
+		task  bool
+		takes time.Duration
+		moved bool
+		least time.Duration
+		most  time.Duration
+	}{
+		"idle":          {most: time.Second},
+		"open request":  {takes: 4 * time.Second, least: 3 * time.Second, most: 5 * time.Second},
+		"task is moved": {task: true, moved: true, least: 5 * time.Second, most: 7 * time.Second},
+		"task stays":    {task: true, least: moveLimit, most: drainLimit},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				w := newWorld(t, 1)
+				e := w.addEntry("entry-a")
+				time.Sleep(5 * time.Second)
+				w.upstreams[0].takes = c.takes
+				replies := make(chan *inner.ServeReply, 1)
+				if c.takes > 0 {
+					go func() {
+						reply, err := w.svc(0).Serve(t.Context(), serveReq("a1", "body"))
+						assert.Check(t, err)
+						replies <- reply
+					}()
+				}
+				w.workers[0].saveTime = time.Second
+				if c.task {
+					w.launch(1, 1)
+				}
+				time.Sleep(500 * time.Millisecond)
+				began := time.Now()
+				w.cancels[0]()
+				time.Sleep(200 * time.Millisecond)
+				assert.Assert(t, e.lastRow().GetDraining())
+				reply, err := w.svc(0).Prepare(t.Context(), w.prepareReq(0, 7))
+				assert.NilError(t, err)
+				assert.Equal(t, reply.GetRefusal(), inner.Refusal_REFUSAL_DRAINING)
+				if c.task {
+					time.Sleep(5 * time.Second)
+					assert.Equal(t, w.running(1, 1), 1)
+				}
+				if c.moved {
+					_, err := w.svc(0).Stop(t.Context(), w.stopReq(0, 1, 10*time.Second, true))
+					assert.NilError(t, err)
+				}
+				<-w.done[0]
+				took := time.Since(began)
+				assert.Assert(t, took >= c.least && took <= c.most, "%v", took)
+				assert.Equal(t, w.running(1, 1), 0)
+				if c.task {
+					last := e.lastRow().GetTasks()[0]
+					assert.Equal(t, last.GetState(), inner.TaskState_TASK_STATE_STOPPED)
+					assert.Equal(t, last.GetCheckpoint(), "ckpt-j.1.0")
+				}
+				if c.takes > 0 {
+					assert.Equal(t, string((<-replies).GetBody()), "body")
+				}
+			})
+		})
+	}
+}
--- /dev/null
+++ b/internal/node/links/links.go
@@ -0,0 +1,163 @@
+// Package links holds an agent's connections to other processes: the
+// connection to its home entry, and the connections to the leaders of the gangs
+// that it takes part in.
+//
+// Connections to leaders are shared by all gangs, opened on first use and
+// closed when unused. A connection on which a beat got no answer is replaced,
+// because a connection may go silent for ever while a new one works. Closing
+// it also bounds how late a beat can arrive.
+package links
+
+import (
+	"context"
+	"crypto/tls"
+	"sync"
+	"time"
+
+	"google.golang.org/grpc"
+	"google.golang.org/grpc/codes"
+	"google.golang.org/grpc/credentials"
+	"google.golang.org/grpc/credentials/insecure"
+	"google.golang.org/grpc/status"
+
+	"github.com/chestnutpond/chestnutpond/internal/wire/inner"
+)
+
+const (
+	// IdleLimit is how long an unused connection to a leader stays open.
+	IdleLimit = 30 * time.Second
+	// MaxMessage bounds a message; requests and answers carry whole bodies.
+	MaxMessage = 32 << 20
+)
+
+// Dialer opens and keeps connections. It has no goroutine of its own; Sweep
+// closes the unused connections.
+type Dialer struct {
+	options []grpc.DialOption
+
+	mu sync.Mutex
+	// conns are the open connections to leaders by address.
+	conns map[string]*conn
+}
+
+type conn struct {
+	client *grpc.ClientConn
+	used   time.Time
+}
+
+// New returns a dialer. Without a TLS configuration connections are plaintext.
+func New(cfg *tls.Config) *Dialer {
+	creds := insecure.NewCredentials()
+	if cfg != nil {
+		creds = credentials.NewTLS(cfg)
+	}
+	return &Dialer{
+		conns: map[string]*conn{},
+		options: []grpc.DialOption{
+			grpc.WithTransportCredentials(creds),
+			grpc.WithDefaultCallOptions(
+				grpc.MaxCallRecvMsgSize(MaxMessage), grpc.MaxCallSendMsgSize(MaxMessage),
+			),
+		},
+	}
+}
+
+// Beat sends one beat to the leader at an address.
+func (d *Dialer) Beat(ctx context.Context, address string, beat *inner.BeatRequest) (*inner.BeatReply, error) {
+	c, err := d.get(address)
+	if err != nil {
+		return nil, err
+	}
+	reply, err := inner.NewAgentClient(c.client).Beat(ctx, beat)
+	switch status.Code(err) {
+	case codes.DeadlineExceeded, codes.Unavailable:
+		d.discard(address, c)
+	}
+	return reply, err
+}
+
+func (d *Dialer) get(address string) (*conn, error) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if c, ok := d.conns[address]; ok {
+		c.used = time.Now()
+		return c, nil
+	}
+	client, err := grpc.NewClient(target(address), d.options...)
+	if err != nil {
+		return nil, err
+	}
+	c := &conn{client: client, used: time.Now()}
+	d.conns[address] = c
+	return c, nil
+}
+
+// discard closes a connection unless another one took its place.
+func (d *Dialer) discard(address string, c *conn) {
+	d.mu.Lock()
+	if d.conns[address] == c {
+		delete(d.conns, address)
+	}
+	d.mu.Unlock()
+	// Close reports only that the connection is closed already.
+	_ = c.client.Close()
+}
+
+// Sweep closes the connections that were not used for IdleLimit.
+func (d *Dialer) Sweep(now time.Time) {
+	d.closeIf(func(c *conn) bool { return now.Sub(c.used) >= IdleLimit })
+}
+
+// Close closes all connections to leaders.
+func (d *Dialer) Close() {
+	d.closeIf(func(*conn) bool { return true })
+}
+
+func (d *Dialer) closeIf(closable func(*conn) bool) {
+	d.mu.Lock()
+	var closed []*conn
+	for address, c := range d.conns {
+		if closable(c) {
+			closed = append(closed, c)
+			delete(d.conns, address)
+		}
+	}
+	d.mu.Unlock()
+	for _, c := range closed {
+		_ = c.client.Close()
+	}
+}
+
+// Announce opens an Announce stream to an entry on a connection of its own.
+func (d *Dialer) Announce(ctx context.Context, address string) (*Stream, error) {
+	client, err := grpc.NewClient(target(address), d.options...)
+	if err != nil {
+		return nil, err
+	}
+	stream, err := inner.NewEntryClient(client).Announce(ctx)
+	if err != nil {
+		_ = client.Close()
+		return nil, err
+	}
+	return &Stream{client: client, stream: stream}, nil
+}
+
+// target keeps gRPC from resolving names: processes know each other by IP.
+func target(address string) string { return "passthrough:///" + address }
+
+// Stream is an Announce stream with its connection.
+type Stream struct {
+	client *grpc.ClientConn
+	stream grpc.BidiStreamingClient[inner.AnnounceRequest, inner.AnnounceReply]
+}
+
+// Send sends one message.
+func (s *Stream) Send(req *inner.AnnounceRequest) error { return s.stream.Send(req) }
+
+// Recv waits for one message.
+func (s *Stream) Recv() (*inner.AnnounceReply, error) { return s.stream.Recv() }
+
+// Close closes the connection, which ends Send and Recv.
+func (s *Stream) Close() {
+	_ = s.client.Close()
+}
