Agent rows get a new sequence with each stream

Cause: a row that moved to another home kept its sequence, so the former home's late report "lost" was as new as the live row, and the two could replace each other in a third entry.

Ruled out: letting the loss carry its own counter, which needs a second order beside the sequence.

Change: each Announce stream raises the sequence; the test that stated the old rule states the new one as an equality.

Before: equal (incarnation, sequence) from two homes. After: the live row is always newer; go test -race ./internal/node/agent passes.

Conclusion: one order decides everywhere.

--- a/internal/node/agent/announce.go
+++ b/internal/node/agent/announce.go
@@ -53,8 +53,8 @@
 	// version and doc are the newest document; version never goes down.
 	version int64
 	doc     []byte
-	// row is the newest row. Its sequence grows with each change and is kept
-	// when the home entry changes.
+	// row is the newest row. Its sequence grows with each change and with each
+	// stream, so that a loss that a former home reports is older.
 	row *inner.Member
 }
 
@@ -98,6 +98,7 @@
 	n.mu.Lock()
 	entry, ok := n.list.Next()
 	silence := n.silence()
+	n.raise()
 	n.mu.Unlock()
 	if !ok {
 		return false
@@ -228,6 +229,16 @@
 	return row, c
 }
 
+// raise gives the newest row the next sequence. The caller holds mu.
+func (n *announcer) raise() {
+	if n.row == nil {
+		return
+	}
+	row := proto.Clone(n.row).(*inner.Member)
+	row.Sequence++
+	n.row = row
+}
+
 // change says how two rows differ.
 type change uint8
 
--- a/internal/node/agent/announce_test.go
+++ b/internal/node/agent/announce_test.go
@@ -107,7 +107,8 @@
 				c.fail(w, home)
 				time.Sleep(c.limit)
 				assert.Assert(t, other.lastRow() != nil)
-				assert.Equal(t, other.lastRow().GetSequence(), sequence, "an unchanged row keeps its sequence")
+				// The former home may report the row as lost under its last sequence.
+				assert.Equal(t, other.lastRow().GetSequence(), sequence+1, "a new stream has a newer row")
 				assert.Assert(t, w.agents[0].Ready())
 			})
 		})
