--- a/internal/node/agent/agent.go
+++ b/internal/node/agent/agent.go
@@ -28,7 +28,6 @@
 	"sync"
 	"time"
 
-	metrics "github.com/rcrowley/go-metrics"
 	"github.com/zeebo/errs"
 	"google.golang.org/grpc"
 
@@ -36,6 +35,7 @@
 	"github.com/chestnutpond/chestnutpond/internal/core/gangs"
 	"github.com/chestnutpond/chestnutpond/internal/core/slots"
 	"github.com/chestnutpond/chestnutpond/internal/node/links"
+	"github.com/chestnutpond/chestnutpond/internal/obs/stats"
 	"github.com/chestnutpond/chestnutpond/internal/wire/inner"
 )
 
@@ -65,7 +65,7 @@
 	Upstream chestnutpond.Upstream
 	// Events may also implement EventSource.
 	Events  chestnutpond.EventSink
-	Metrics metrics.Registry
+	Metrics *stats.Registry
 	Log     *slog.Logger
 	// ServerTLS and ClientTLS are nil for plaintext.
 	ServerTLS, ClientTLS *tls.Config
--- a/internal/node/agent/meters.go
+++ b/internal/node/agent/meters.go
@@ -6,13 +6,7 @@
 	metrics "github.com/rcrowley/go-metrics"
 
 	"github.com/chestnutpond/chestnutpond/internal/node/links"
-)
-
-// sampleSize and sampleAlpha weigh a histogram towards the last five minutes;
-// they are the library's advice.
-const (
-	sampleSize  = 1028
-	sampleAlpha = 0.015
+	"github.com/chestnutpond/chestnutpond/internal/obs/stats"
 )
 
 // meters are the agent's metrics.
@@ -25,22 +19,19 @@
 	// them.
 	reconnects, announced metrics.Counter
 	busy, tasks           metrics.Gauge
-	// serveTime is in microseconds. It is no metrics.Timer, because that starts a
-	// goroutine which never ends.
-	serveTime metrics.Histogram
+	serveTime             *stats.Seconds
 }
 
-func newMeters(r metrics.Registry) *meters {
+func newMeters(r *stats.Registry) *meters {
 	return &meters{
-		served:     metrics.GetOrRegisterCounter("agent.served", r),
-		refused:    metrics.GetOrRegisterCounter("agent.refused", r),
-		beatsLost:  metrics.GetOrRegisterCounter("agent.beats_lost", r),
-		reconnects: metrics.GetOrRegisterCounter("agent.announce_streams_ended", r),
-		announced:  metrics.GetOrRegisterCounter("agent.announced_bytes", r),
-		busy:       metrics.GetOrRegisterGauge("agent.busy_slots", r),
-		tasks:      metrics.GetOrRegisterGauge("agent.tasks", r),
-		serveTime: metrics.GetOrRegisterHistogram(
-			"agent.serve_time_us", r, metrics.NewExpDecaySample(sampleSize, sampleAlpha)),
+		served:     r.Counter("agent_served_total", "Requests that the upstream was asked to run."),
+		refused:    r.Counter("agent_refused_total", "Requests that were refused and did not run."),
+		beatsLost:  r.Counter("agent_beats_lost_total", "Gang beats without an answer."),
+		reconnects: r.Counter("agent_announce_streams_ended_total", "Announce streams that ended."),
+		announced:  r.Counter("agent_announced_bytes_total", "Bytes sent to the home entry."),
+		busy:       r.Gauge("agent_busy_slots", "Request slots in use."),
+		tasks:      r.Gauge("agent_tasks", "Tasks that are reserved, waiting or running."),
+		serveTime:  r.Seconds("agent_serve_seconds", "Time of a request at the upstream."),
 	}
 }
 
--- a/internal/node/agent/serve.go
+++ b/internal/node/agent/serve.go
@@ -68,7 +68,7 @@
 		Request: attempt.Request, Kind: attempt.Kind, Body: attempt.Body, Timeout: left,
 	})
 	end := time.Now()
-	a.meters.serveTime.Update(end.Sub(now).Microseconds())
+	a.meters.serveTime.Observe(end.Sub(now))
 	a.slots.Finish(attempt, a.judge(answer, err), end)
 }
 
--- a/internal/node/agent/socket_test.go
+++ b/internal/node/agent/socket_test.go
@@ -11,13 +11,13 @@
 	"testing"
 	"time"
 
-	metrics "github.com/rcrowley/go-metrics"
 	"google.golang.org/grpc"
 	"google.golang.org/grpc/credentials/insecure"
 	"google.golang.org/protobuf/types/known/durationpb"
 	"gotest.tools/v3/assert"
 	"gotest.tools/v3/poll"
 
+	"github.com/chestnutpond/chestnutpond/internal/obs/stats"
 	"github.com/chestnutpond/chestnutpond/internal/wire/inner"
 )
 
@@ -90,7 +90,7 @@
 			Name: fmt.Sprintf("agent-%d", i), Region: "pampa", Incarnation: 1, InnerListen: "127.0.0.1:0",
 			Entries: []string{listener.Addr().String()}, Accelerators: 8, Slots: 2, Kinds: []string{"price_list"},
 			Worker: worker, Upstream: &fakeUpstream{}, Events: noEvents{},
-			Metrics: metrics.NewRegistry(), Log: slog.New(slog.DiscardHandler),
+			Metrics: stats.New(), Log: slog.New(slog.DiscardHandler),
 		})
 		assert.NilError(t, err)
 		done := make(chan error, 1)
--- a/internal/node/agent/world_test.go
+++ b/internal/node/agent/world_test.go
@@ -13,11 +13,11 @@
 	"time"
 
 	"github.com/cespare/xxhash/v2"
-	metrics "github.com/rcrowley/go-metrics"
 	"google.golang.org/protobuf/types/known/durationpb"
 	"gotest.tools/v3/assert"
 
 	"github.com/chestnutpond/chestnutpond"
+	"github.com/chestnutpond/chestnutpond/internal/obs/stats"
 	"github.com/chestnutpond/chestnutpond/internal/wire/inner"
 )
 
@@ -302,7 +302,7 @@
 		Incarnation: incarnation, Advertise: fmt.Sprintf("agent-%d", i),
 		Entries: []string{"entry-a", "entry-b"}, Accelerators: 8, Slots: 2, Connections: 4,
 		Kinds: []string{"price_list"}, Worker: w.workers[i], Upstream: w.upstreams[i],
-		Events: noEvents{}, Metrics: metrics.NewRegistry(), Log: slog.New(slog.DiscardHandler),
+		Events: noEvents{}, Metrics: stats.New(), Log: slog.New(slog.DiscardHandler),
 	}
 	ctx, cancel := context.WithCancel(w.t.Context())
 	a, done := assemble(cfg, port{w: w, of: i}), make(chan struct{})
