--- /dev/null
+++ b/internal/test/proof/doc.go
@@ -0,0 +1,12 @@
+// Package proof holds the tests with real processes: entries, agents and the
+// stand-ins of the platform on loopback, with a fault-injecting proxy on the
+// paths between them. It has no code outside of its tests.
+//
+// The tests record histories (runs of tasks, executions of requests, outcomes
+// that callers saw, versions that processes reported) and hand them to
+// checkers, which are pure functions. Each checker is itself tested with
+// histories that it must reject.
+//
+// Processes are polled against a generous deadline; no test waits for a fixed
+// time to pass, and a process is only ever ended through its own handle.
+package proof
