--- a/cmd/chestnutpond/main.go
+++ b/cmd/chestnutpond/main.go
@@ -10,6 +10,7 @@
 	"github.com/urfave/cli/v3"
 
 	"github.com/chestnutpond/chestnutpond/internal/tool/client"
+	"github.com/chestnutpond/chestnutpond/internal/tool/launch"
 )
 
 func main() {
@@ -17,15 +18,10 @@
 		Name:     "chestnutpond",
 		Usage:    "places the work of client accounts on a shared fleet of workers with accelerators",
 		Action:   client.NoCommand,
-		Commands: commands(),
+		Commands: append(launch.Commands(), client.Commands()...),
 	}
 	if err := root.Run(context.Background(), os.Args); err != nil {
 		fmt.Fprintln(os.Stderr, "chestnutpond:", err)
 		os.Exit(client.ExitFailed)
 	}
 }
-
-// commands returns all subcommands.
-func commands() []*cli.Command {
-	return client.Commands()
-}
