--- a/internal/obs/slogs/slogs.go
+++ b/internal/obs/slogs/slogs.go
@@ -51,7 +51,8 @@
 }
 
 // Logger returns a logger whose messages begin with the name of the part, a
-// colon and a space.
+// colon and a space. A message that already begins so stays as it is, so that
+// parts may write the prefix for tests that use another logger.
 func (l *Log) Logger(part string) *slog.Logger {
 	return slog.New(&handler{next: l.limiter.out, limiter: l.limiter, prefix: part + ": "})
 }
@@ -74,7 +75,10 @@
 
 // Handle implements slog.Handler.
 func (h *handler) Handle(ctx context.Context, r slog.Record) error {
-	text := h.prefix + r.Message
+	text := r.Message
+	if !strings.HasPrefix(text, h.prefix) {
+		text = h.prefix + text
+	}
 	if !h.limiter.allow(message{level: r.Level, text: text}) {
 		return nil
 	}
--- a/internal/obs/slogs/slogs_test.go
+++ b/internal/obs/slogs/slogs_test.go
@@ -58,6 +58,24 @@
 	}
 }
 
+// Guards against lines such as "entry: entry: started".
+func TestPrefixIsNotRepeated(t *testing.T) {
+	tests := map[string]struct{ message, want string }{
+		"without": {"started", "entry: started"},
+		"with":    {"entry: started", "entry: started"},
+		"other":   {"sched: started", "entry: sched: started"},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			var out bytes.Buffer
+			l := New(Config{Out: &out})
+			l.Logger("entry").Info(tt.message)
+			l.Flush()
+			assert.Assert(t, strings.HasSuffix(out.String(), `msg="`+tt.want+`"`+"\n"), out.String())
+		})
+	}
+}
+
 func TestFormats(t *testing.T) {
 	tests := map[string]struct{ format, want string }{
 		"json": {FormatJSON, `"level":"WARN","msg":"agent: lease lapsed","job":"j1","age":"1.5s"}`},
