A restarted process takes an incarnation above the known one

Cause: incarnations came from the wall clock alone; after a clock that went back, others would take a restarted process for an older one and ignore it.

Ruled out: a counter on disk (hosts have none); raising the incarnation of a running process (its grants name it).

Change: at its start a process asks the entries for the last known incarnation of its name (LastIncarnation) and takes a greater one.

Not covered: a start while no entry answers and the clock went back.

Conclusion: a clock that jumps needs no hand unless all entries are unreachable.

--- a/internal/node/entry/inner.go
+++ b/internal/node/entry/inner.go
@@ -9,6 +9,7 @@
 	"google.golang.org/grpc/codes"
 	"google.golang.org/grpc/status"
 
+	"github.com/chestnutpond/chestnutpond/internal/core/ledger"
 	"github.com/chestnutpond/chestnutpond/internal/wire/inner"
 )
 
@@ -60,6 +61,21 @@
 	return s.entry.sched.Status(req.GetRegion()), nil
 }
 
+// LastIncarnation implements inner.EntryServer.
+func (s *innerServer) LastIncarnation(
+	_ context.Context, req *inner.LastIncarnationRequest,
+) (*inner.LastIncarnationReply, error) {
+	last := s.entry.group.LastIncarnation(req.GetName())
+	s.entry.tail.View(func(st *ledger.State) {
+		for _, t := range st.Terms() {
+			if t.Holder.Process == req.GetName() {
+				last = max(last, t.Holder.Incarnation)
+			}
+		}
+	})
+	return &inner.LastIncarnationReply{Incarnation: last}, nil
+}
+
 // syncFromPeer returns the newest state among the entries that answer.
 func (e *Entry) syncFromPeer(ctx context.Context) ([]byte, error) {
 	var best *inner.SyncReply
--- a/internal/node/peers/group.go
+++ b/internal/node/peers/group.go
@@ -134,6 +134,21 @@
 	return g.table.Homed()
 }
 
+// LastIncarnation returns the highest known incarnation of an agent or entry, 0
+// if the name is not known.
+func (g *Group) LastIncarnation(name string) int64 {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	var last int64
+	if row, ok := g.table.Get(name); ok {
+		last = row.Member.GetIncarnation()
+	}
+	if peer, ok := g.peers.Get(name); ok {
+		last = max(last, peer.Incarnation)
+	}
+	return last
+}
+
 // Peers returns the other entries, by name.
 func (g *Group) Peers() []fleet.Peer {
 	g.mu.Lock()
--- a/internal/tool/launch/launch.go
+++ b/internal/tool/launch/launch.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"crypto/tls"
 	"log/slog"
 	"net/http"
 	"os"
@@ -63,8 +64,8 @@
 	metrics     *stats.Registry
 }
 
-func newProcess(name string, level slog.Level) process {
-	incarnation := time.Now().UnixMilli()
+func newProcess(ctx context.Context, name string, level slog.Level, entries []string, creds *tls.Config) process {
+	incarnation := nextIncarnation(ctx, name, entries, creds)
 	return process{
 		incarnation: incarnation,
 		logs:        slogs.New(slogs.Config{Out: os.Stderr, Format: slogs.FormatText, Level: level}),
@@ -86,7 +87,7 @@
 	if err != nil {
 		return err
 	}
-	p := newProcess(settings.Name, settings.LogLevel)
+	p := newProcess(ctx, settings.Name, settings.LogLevel, settings.Entries, settings.TLS.Client)
 	defer p.logs.Flush()
 	log := logsvc.New(logsvc.Config{Address: settings.Log.Address, Stream: settings.Log.Stream})
 	var operators []entry.Operator
@@ -113,7 +114,7 @@
 	if err != nil {
 		return err
 	}
-	p := newProcess(settings.Name, settings.LogLevel)
+	p := newProcess(ctx, settings.Name, settings.LogLevel, settings.Entries, settings.TLS.Client)
 	defer p.logs.Flush()
 	worker := task.New(task.Config{Address: settings.Worker})
 	upstream := upsvc.New(upsvc.Config{
