Attempt numbers may leave numbers out

Cause: an attempt that was refused before its start was recorded used up a number in the placement core, while the fold wanted the direct successor of the last recorded one. Every later start of the job was void, so one lost Prepare left a job waiting for ever.

Ruled out: handing the number back to the core (a late Prepare of the given-up attempt could then meet the new one).

Change: the fold takes any number above the last; a given-up number is fenced on the agents.

Conclusion: a greater number is the fence; a gap in the numbers is harmless.

--- a/internal/core/ledger/apply.go
+++ b/internal/core/ledger/apply.go
@@ -141,7 +141,7 @@
 
 func (s *State) start(by Origin, b StartJob) Change {
 	j, ok := s.jobs[b.Job]
-	if !ok || j.State != chestnutpond.JobQueued || b.Attempt != j.Attempt+1 {
+	if !ok || j.State != chestnutpond.JobQueued || b.Attempt <= j.Attempt {
 		return Change{}
 	}
 	if !s.holds(by, j, b.Region, b.Term) {
--- a/internal/core/ledger/record.go
+++ b/internal/core/ledger/record.go
@@ -54,7 +54,8 @@
 	Spec chestnutpond.JobSpec `json:"spec"`
 }
 
-// StartJob begins an attempt.
+// StartJob begins an attempt. Attempt is above the job's last one; numbers are
+// left out when an attempt was given up before it was recorded.
 type StartJob struct {
 	Job        chestnutpond.JobID       `json:"job"`
 	Attempt    int64                    `json:"attempt"`
--- a/internal/node/sched/calls.go
+++ b/internal/node/sched/calls.go
@@ -136,13 +136,13 @@
 	return gang
 }
 
-// dropHolds gives up the reservations of an attempt that was not recorded. The
-// attempt is not fenced, because its number is used again.
+// dropHolds gives up the reservations of an attempt that was not recorded. Its
+// number is not used again, so it is fenced: a late Prepare reserves nothing.
 func (a *attempt) dropHolds(ctx context.Context) {
 	_ = a.each(ctx, prepareTimeout, func(
 		ctx context.Context, agent inner.AgentClient, p chestnutpond.Placement,
 	) *place.Failure {
-		_, err := agent.Stop(ctx, a.stopRequest(p, 0, "not started", false))
+		_, err := agent.Stop(ctx, a.stopRequest(p, 0, "not started", true))
 		if err != nil {
 			return &place.Failure{Worker: p.Worker, Reason: err.Error()}
 		}
