--- a/internal/core/place/borrow.go
+++ b/internal/core/place/borrow.go
@@ -89,6 +89,13 @@
 	if _, ok := c.fleet.find(q); !ok {
 		return false
 	}
+	c.shelve(j)
+	return true
+}
+
+// shelve delays a waiting job that has room only on workers it avoids. It may
+// use them again after a few such delays.
+func (c *Core) shelve(j *job) {
 	c.detach(j)
 	j.dodges++
 	if j.dodges >= dodgeLimit {
@@ -98,7 +105,6 @@
 	j.notBefore = c.now + dodgeDelay
 	j.reason = "only workers on which it failed have room"
 	c.enqueue(j)
-	return true
 }
 
 // reserve sets accelerators aside for the job at the head of the queue, where
--- a/internal/core/place/cell.go
+++ b/internal/core/place/cell.go
@@ -192,10 +192,11 @@
 
 // placeCell finds accelerators outside other cells: free ones, else any.
 func (c *Core) placeCell(l *cell) bool {
-	picks, ok := c.fleet.find(query{shape: l.shape, view: viewOpen})
-	if !ok {
-		picks, ok = c.fleet.find(query{shape: l.shape, view: viewCell})
+	if picks, ok := c.fleet.find(query{shape: l.shape, view: viewOpen}); ok {
+		c.bind(l, freeHolds(picks))
+		return true
 	}
+	picks, ok := c.fleet.find(query{shape: l.shape, view: viewCell})
 	if ok {
 		c.bind(l, cellHolds(picks, l.account))
 	}
--- a/internal/core/place/claim.go
+++ b/internal/core/place/claim.go
@@ -17,16 +17,21 @@
 }
 
 // claimGuarantees gives cells to the waiting jobs that are within a guarantee.
+//
+// A claim may end a reservation of an account that was looked at before, so the
+// accounts are looked at until none changes. Each turn claims for a job or ends
+// a reservation, and none is made here.
 func (c *Core) claimGuarantees() {
-	for _, a := range c.ordered {
-		if !a.check {
-			continue
-		}
-		a.check = false
-		if a.waiting == 0 || len(a.cells) == 0 {
-			continue
-		}
-		for c.claimNext(a) {
+	for changed := true; changed; {
+		changed = false
+		for _, a := range c.ordered {
+			if !a.check {
+				continue
+			}
+			a.check = false
+			for a.waiting > 0 && len(a.cells) > 0 && c.claimNext(a) {
+				changed = true
+			}
 		}
 	}
 }
@@ -45,41 +50,46 @@
 		return before(x, y)
 	})
 	for _, j := range heads {
-		if c.claimFor(j) {
+		if c.claimFor(j) || c.passOver(j) {
 			return true
 		}
 	}
 	return false
 }
 
+// passOver moves a job out of the way that fits a cell but for the workers on
+// which it failed, so that the jobs behind it can claim the cell.
+func (c *Core) passOver(j *job) bool {
+	if len(j.avoid) == 0 {
+		return false
+	}
+	avoid := j.avoid
+	j.avoid = nil
+	_, _, ok := c.bestPlan(j)
+	j.avoid = avoid
+	if !ok {
+		return false
+	}
+	if !c.borrow(j) {
+		c.shelve(j)
+	}
+	return true
+}
+
 // claimFor starts a job on a cell of its account, or claims the accelerators
 // for it: on free ones, on a cell moved to free ones, on free accelerators
 // outside cells, and with preemption only if nothing else is left.
 func (c *Core) claimFor(j *job) bool {
-	var best *cell
-	var bestPlan plan
-	for _, l := range j.account.cells {
-		if !l.covered() || l.shape.Accelerators-l.used < j.size() {
-			continue
-		}
-		p, ok := c.planIn(l, j)
-		if !ok || best != nil && !p.better(bestPlan, l, best) {
-			continue
-		}
-		best, bestPlan = l, p
-	}
-	if best == nil {
+	best, p, ok := c.bestPlan(j)
+	if !ok {
 		return false
 	}
-	if !bestPlan.busy {
-		c.claimOn(j, best, bestPlan)
+	if !p.busy {
+		c.claimOn(j, best, p)
 		return true
 	}
-	if best.used == 0 && c.moveCell(best) {
-		if p, ok := c.planIn(best, j); ok {
-			c.claimOn(j, best, p)
-			return true
-		}
+	if best.used == 0 && c.moveCell(best, j.avoid) {
+		return c.claimFor(j)
 	}
 	if j.account.used+j.size() <= j.account.guaranteed {
 		if picks, ok := c.fleet.find(query{shape: j.spec.Shape, view: viewOpen, avoid: j.avoid}); ok {
@@ -87,10 +97,25 @@
 			return true
 		}
 	}
-	c.claimOn(j, best, bestPlan)
+	c.claimOn(j, best, p)
 	return true
 }
 
+// bestPlan returns the cell of the account on which the job starts at the least
+// cost; ok is false if none has room.
+func (c *Core) bestPlan(j *job) (best *cell, p plan, ok bool) {
+	for _, l := range j.account.cells {
+		if !l.covered() || l.shape.Accelerators-l.used < j.size() {
+			continue
+		}
+		q, fits := c.planIn(l, j)
+		if fits && (best == nil || q.better(p, l, best)) {
+			best, p = l, q
+		}
+	}
+	return best, p, best != nil
+}
+
 func (p plan) better(o plan, l, other *cell) bool {
 	if p.busy != o.busy {
 		return !p.busy
@@ -102,13 +127,13 @@
 }
 
 // moveCell moves an unused cell to free accelerators outside all cells.
-func (c *Core) moveCell(l *cell) bool {
-	picks, ok := c.fleet.find(query{shape: l.shape, view: viewOpen})
+func (c *Core) moveCell(l *cell, avoid []string) bool {
+	picks, ok := c.fleet.find(query{shape: l.shape, view: viewOpen, avoid: avoid})
 	if !ok {
 		return false
 	}
 	c.unplace(l)
-	c.bind(l, cellHolds(picks, l.account))
+	c.bind(l, freeHolds(picks))
 	return true
 }
 
--- a/internal/core/place/health.go
+++ b/internal/core/place/health.go
@@ -188,7 +188,7 @@
 		}
 		w.failures = without(w.failures, j)
 		if w.ejected && c.against(w) < c.cfg.EjectAfter {
-			w.strikes--
+			w.strikes = max(0, w.strikes-1)
 			c.liftEjection(w)
 		}
 	}
