--- a/internal/core/route/health.go
+++ b/internal/core/route/health.go
@@ -88,6 +88,9 @@
 // eject leaves a target alone, unless the cap is reached or a kind would be left
 // without any target.
 func (r *Router) eject(now time.Duration, t *target) {
+	if !t.usable() {
+		return
+	}
 	up := 0
 	for _, o := range r.order {
 		if o.usable() {
@@ -120,21 +123,23 @@
 	return false
 }
 
-// restore takes ejected targets back whose kinds would have no other target after
-// a change of t.
-func (r *Router) restore(now time.Duration, t *target) {
-	if t.usable() && t.health != ejected || r.out == 0 {
-		return
-	}
-	for _, l := range t.links {
+// restore takes the ejected and probing targets of those kinds back that have no
+// healthy target any more. It runs after every change of a target.
+func (r *Router) restore(now time.Duration, links []*link) {
+	for _, l := range links {
 		if l.kind.othersIn(nil) {
 			continue
 		}
 		for _, o := range l.kind.links {
-			if o.target.health == ejected && o.target.usable() {
-				o.target.until = now
-				r.refresh(now, o.target)
+			t := o.target
+			if t.health == healthy || !t.usable() {
+				continue
+			}
+			if t.health == ejected {
+				r.out--
 			}
+			t.health = healthy
+			r.refresh(now, t)
 		}
 	}
 }
--- a/internal/core/route/target.go
+++ b/internal/core/route/target.go
@@ -125,6 +125,7 @@
 	}
 	r.leave(t)
 	t.gone = false
+	before := t.links
 	if !slices.Equal(t.Kinds, in.Kinds) {
 		r.relink(t, in.Kinds)
 	}
@@ -136,7 +137,8 @@
 		t.others, t.othersAt = float64(max(in.Busy-t.own, 0)), now
 	}
 	r.refresh(now, t)
-	r.restore(now, t)
+	r.restore(now, before)
+	r.restore(now, t.links)
 }
 
 // place sets the tier of a target and takes its open requests along.
@@ -160,7 +162,7 @@
 		t.health = probing
 		r.out--
 	}
-	r.restore(now, t)
+	r.restore(now, t.links)
 	r.release(t)
 }
 
