--- a/cmd/chestnutpond/main.go
+++ b/cmd/chestnutpond/main.go
@@ -9,16 +9,19 @@
 
 	"github.com/urfave/cli/v3"
 
+	"github.com/chestnutpond/chestnutpond/internal/tool/client"
 	"github.com/chestnutpond/chestnutpond/internal/tool/launch"
 )
 
 func main() {
-	app := &cli.Command{
-		Name: "chestnutpond", Usage: "place work of client accounts on a shared fleet",
-		Commands: launch.Commands(),
+	root := &cli.Command{
+		Name:     "chestnutpond",
+		Usage:    "places the work of client accounts on a shared fleet of workers with accelerators",
+		Action:   client.NoCommand,
+		Commands: append(launch.Commands(), client.Commands()...),
 	}
-	if err := app.Run(context.Background(), os.Args); err != nil {
-		fmt.Fprintln(os.Stderr, err)
-		os.Exit(1)
+	if err := root.Run(context.Background(), os.Args); err != nil {
+		fmt.Fprintln(os.Stderr, "chestnutpond:", err)
+		os.Exit(client.ExitFailed)
 	}
 }
