A gang that cannot be reached restarts only when it has surely stopped

Cause: a new scheduler that had not heard of the agents yet took the workers of a running gang for gone, stopped the gang and started it again. And a gang cut off together with an entry could run twice after 29 s.

Ruled out: a fixed longer wait (a lost zone would wait as long as a cut region); agents that depend on the scheduler (a log outage with the loss of the scheduler would stop all gangs).

Change: an unknown worker counts from the adoption of the attempt; entries that read no log and hear no majority stop answering after 60 s; entries that read the log tell agents which attempts are over; the scheduler waits 29 s, or 99 s and a majority while entries are lost.

Before: TestTakeoverBlind started the gang's members 4 times. After: 2 times; go test -race ./internal/node/sched passes.

--- a/internal/core/fleet/peers.go
+++ b/internal/core/fleet/peers.go
@@ -65,6 +65,29 @@
 	return lost
 }
 
+// Forget removes peers that are lost for longer than keep.
+func (p *Peers) Forget(now, keep time.Duration) {
+	for name, peer := range p.peers {
+		if peer.Lost && now-peer.LostAt > keep {
+			delete(p.peers, name)
+		}
+	}
+}
+
+// Majority reports whether this entry and the peers that it hears are more than
+// half of all that are known.
+func (p *Peers) Majority() bool {
+	heard, lost := 1, 0
+	for _, peer := range p.peers {
+		if peer.Lost {
+			lost++
+		} else {
+			heard++
+		}
+	}
+	return heard > lost
+}
+
 // LostSince tells since when a peer is lost. An unknown peer is not lost.
 func (p *Peers) LostSince(name string) (time.Duration, bool) {
 	peer, ok := p.peers[name]
--- a/internal/core/gangs/stop.go
+++ b/internal/core/gangs/stop.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/chestnutpond/chestnutpond"
 	"github.com/chestnutpond/chestnutpond/internal/wire/inner"
 )
 
@@ -60,6 +61,27 @@
 	return Stopping{Reply: reply, Fenced: fenced}
 }
 
+// Over stops and fences tasks whose attempt is over by the log. The log does not
+// go back on that, so no term is needed.
+func (t *Table) Over(ids []string, reason string, now time.Time) {
+	if len(ids) == 0 {
+		return
+	}
+	over := make(map[chestnutpond.TaskID]bool, len(ids))
+	for _, id := range ids {
+		over[chestnutpond.TaskID(id)] = true
+	}
+	t.mu.Lock()
+	for key, task := range t.tasks {
+		if over[key.Task()] && task.phase != ended {
+			t.fence(key.Job, key.Attempt, now)
+			t.order(task, 0, reason, now)
+		}
+	}
+	t.mu.Unlock()
+	t.cfg.Notify()
+}
+
 // order asks a task to stop, with the lock held.
 func (t *Table) order(k *task, checkpoint time.Duration, reason string, now time.Time) {
 	t.apply(k, now, func(k *task) { k.order(checkpoint, reason, now) })
--- a/internal/node/agent/announce.go
+++ b/internal/node/agent/announce.go
@@ -194,6 +194,7 @@
 // take applies an answer and returns how long the stream may be silent now.
 func (n *announcer) take(entry string, reply *inner.AnnounceReply) time.Duration {
 	n.agent.gangs.Release(reply.GetRelease(), time.Now())
+	n.agent.gangs.Over(reply.GetOver(), "the log says that the attempt is over", time.Now())
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	n.up, n.answered = true, time.Now()
--- a/internal/node/peers/group.go
+++ b/internal/node/peers/group.go
@@ -25,6 +25,10 @@
 	exchangeTimeout = exchangeWait + time.Second
 	exchangeRetry   = 300 * time.Millisecond
 	expireEvery     = 200 * time.Millisecond
+	// vouchLimit is how long an entry that reads no log and hears no majority of
+	// the known entries still answers its agents. The scheduler of a region
+	// counts on it before it restarts a gang that it cannot reach.
+	vouchLimit = 60 * time.Second
 	// forgetAfter is how long a lost agent stays in the table.
 	forgetAfter = 2 * time.Hour
 	// addressLimit bounds the known addresses of entries.
@@ -78,6 +82,8 @@
 	// stream has something to send.
 	notices  map[*session]struct{}
 	draining bool
+	// cutSince is since when this entry is cut off; zero while it is not.
+	cutSince time.Duration
 }
 
 // New returns a group that knows only itself.
@@ -192,13 +198,39 @@
 	}
 }
 
+// vouches reports whether agents may rely on this entry: it reads the log and so
+// learns which attempts are over, or it is in touch with most of the entries.
+func (g *Group) vouches() bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.cutSince == 0 || g.Now()-g.cutSince < vouchLimit
+}
+
+// noteCut tells the group whether the log is read. The caller holds mu.
+func (g *Group) noteCut(now time.Duration, readsLog bool) {
+	if readsLog || g.peers.Majority() {
+		g.cutSince = 0
+		return
+	}
+	if g.cutSince == 0 {
+		g.cutSince = now
+		return
+	}
+	if now-g.cutSince >= vouchLimit {
+		g.noticeAll()
+	}
+}
+
 func (g *Group) expire() {
 	now := g.Now()
+	readsLog := g.cfg.Tail.Available()
 	g.mu.Lock()
+	g.noteCut(now, readsLog)
 	lostPeers := g.peers.Expire(now)
 	lost := g.table.Expire(now, g.peers.LostSince)
 	rows := g.rowsOf(lost)
 	forgotten := g.table.Forget(now, forgetAfter)
+	g.peers.Forget(now, forgetAfter)
 	if len(lost) > 0 {
 		g.bump()
 	}
--- a/internal/node/peers/home.go
+++ b/internal/node/peers/home.go
@@ -77,6 +77,9 @@
 		if s.group.isDraining() {
 			return status.Error(codes.Unavailable, "entry is draining")
 		}
+		if !s.group.vouches() {
+			return status.Error(codes.Unavailable, "entry is cut off from the log and from most entries")
+		}
 		if err := s.send(); err != nil {
 			return err
 		}
@@ -172,6 +175,7 @@
 		s.addConfig(reply, st)
 		if known {
 			reply.Release = endedTasks(row.Member, st)
+			reply.Over = overTasks(row.Member, st)
 		}
 	})
 	return reply
@@ -204,12 +208,37 @@
 		// A task of an attempt that the fold has not reached yet is kept.
 		ahead := ok && t.GetAttempt() > job.Attempt
 		if !open && !ahead {
-			ids = append(ids, fmt.Sprintf("%s.%d.%d", t.GetJob(), t.GetAttempt(), t.GetMember()))
+			ids = append(ids, taskID(t))
 		}
 	}
 	return ids
 }
 
+// overTasks returns the ids of the tasks of an agent that wait or run although
+// the log says that their attempt is over. A job that the fold does not know
+// may be ahead of it.
+func overTasks(m *inner.Member, st *ledger.State) []string {
+	var ids []string
+	for _, t := range m.GetTasks() {
+		if ended(t.GetState()) || t.GetState() == inner.TaskState_TASK_STATE_HELD {
+			continue
+		}
+		job, ok := st.Job(chestnutpond.JobID(t.GetJob()))
+		if !ok || t.GetAttempt() > job.Attempt {
+			continue
+		}
+		waits := job.State == chestnutpond.JobQueued
+		if t.GetAttempt() < job.Attempt || waits || job.State.Final() {
+			ids = append(ids, taskID(t))
+		}
+	}
+	return ids
+}
+
+func taskID(t *inner.Task) string {
+	return fmt.Sprintf("%s.%d.%d", t.GetJob(), t.GetAttempt(), t.GetMember())
+}
+
 func ended(s inner.TaskState) bool {
 	switch s {
 	case inner.TaskState_TASK_STATE_STOPPED, inner.TaskState_TASK_STATE_COMPLETED, inner.TaskState_TASK_STATE_FAILED:
--- a/internal/node/sched/fake_test.go
+++ b/internal/node/sched/fake_test.go
@@ -58,6 +58,8 @@
 	entries map[string]*entry
 	cuts    []cut
 	calls   map[step]int
+	// blind is how long a new entry hears of no agent.
+	blind time.Duration
 	// starts and ends count the runs of each task.
 	starts map[string]int
 	ends   map[string]int
@@ -76,8 +78,10 @@
 	tail    *tail.Tail
 	manager *Manager
 	dead    bool
-	stop    context.CancelFunc
-	running sync.WaitGroup
+	// blindUntil is when the entry begins to hear of agents.
+	blindUntil time.Time
+	stop       context.CancelFunc
+	running    sync.WaitGroup
 }
 
 func newWorld(t *testing.T, cuts ...cut) *world {
@@ -103,7 +107,7 @@
 	logger := slog.New(slog.NewTextHandler(io.Discard, nil))
 	ring := events.New(events.Config{Process: name})
 	origin := ledger.Origin{Process: name, Incarnation: 1}
-	e := &entry{world: w, name: name}
+	e := &entry{world: w, name: name, blindUntil: time.Now().Add(w.blind)}
 	e.tail = tail.New(tail.Config{
 		Log: w.log, Origin: origin, Events: ring, Logger: logger, Metrics: stats.New(),
 		OnChange: func(c ledger.Change) { e.manager.LogChanged(c) },
@@ -170,6 +174,9 @@
 	e.world.mu.Lock()
 	defer e.world.mu.Unlock()
 	var rows []fleet.Row
+	if time.Now().Before(e.blindUntil) {
+		return nil
+	}
 	for _, a := range e.world.agents {
 		rows = append(rows, fleet.Row{Member: a.member, Lost: a.dead})
 	}
--- a/internal/node/sched/halt.go
+++ b/internal/node/sched/halt.go
@@ -26,7 +26,6 @@
 // halter collects the members' answers to a stop.
 type halter struct {
 	attempt *attempt
-	began   time.Time
 
 	// mu guards the fields below; no other lock is taken under it.
 	mu sync.Mutex
@@ -40,7 +39,7 @@
 // halt stops all members and waits until each one is surely stopped. It returns
 // false when the term ends first.
 func (a *attempt) halt(ctx context.Context, checkpoint time.Duration, reason string) (halted, bool) {
-	h := &halter{attempt: a, began: time.Now(), sure: make(map[int]bool), done: make(map[int]*inner.StopReply)}
+	h := &halter{attempt: a, sure: make(map[int]bool), done: make(map[int]*inner.StopReply)}
 	for ctx.Err() == nil {
 		_ = a.each(ctx, checkpoint+stopGrace, func(
 			ctx context.Context, agent inner.AgentClient, p chestnutpond.Placement,
@@ -105,10 +104,7 @@
 	if !confirmed.IsZero() && time.Since(confirmed) > gangGone {
 		return true
 	}
-	if ok && row.Lost && members.Now()-row.LostAt > unreachableGone {
-		return true
-	}
-	return time.Since(h.began) > unreachableGone && (!ok || row.Lost)
+	return h.attempt.isGone(row, ok)
 }
 
 func (h *halter) result() halted {
--- a/internal/node/sched/inspect.go
+++ b/internal/node/sched/inspect.go
@@ -17,11 +17,47 @@
 	gangGone = 9 * time.Second
 	// isolationLimit is how long an agent without any entry keeps its tasks.
 	isolationLimit = 20 * time.Second
+	// vouchLimit is how long an entry that is cut off from the log and from most
+	// entries still answers its agents.
+	vouchLimit = 60 * time.Second
 	// unreachableGone is how long after the last contact with any member a whole
-	// gang has stopped.
+	// gang has stopped, if no entry is lost that its agents may still reach.
 	unreachableGone = isolationLimit + gangGone
+	// cutOffGone is the same while entries are lost. peerLost and the detection
+	// of the cut by the other side are in its last term.
+	cutOffGone = vouchLimit + unreachableGone + 10*time.Second
 )
 
+// goneAfter returns how long after the last contact a whole gang has surely
+// stopped. It is not known while entries are lost and this entry hears no
+// majority: the agents may then follow the others.
+func (r *region) goneAfter() (time.Duration, bool) {
+	heard, lost := 1, 0
+	for _, p := range r.m.cfg.Members.Peers() {
+		if p.Lost {
+			lost++
+		} else {
+			heard++
+		}
+	}
+	if lost == 0 {
+		return unreachableGone, true
+	}
+	return cutOffGone, heard > lost
+}
+
+// isGone reports whether a worker that is silent has surely stopped its part of
+// a gang of which no member can be reached. A worker that this entry never heard
+// of may run: the entry may have started a moment ago.
+func (a *attempt) isGone(row fleet.Row, known bool) bool {
+	limit, sure := a.region.goneAfter()
+	now := a.region.m.cfg.Members.Now()
+	if !known {
+		return sure && now-a.since > limit
+	}
+	return sure && row.Lost && now-row.LostAt > limit
+}
+
 // sight is what the rows say about an attempt.
 type sight struct {
 	running   bool
@@ -43,7 +79,7 @@
 		row, ok := members.Row(p.Worker)
 		if !ok || row.Lost {
 			silent++
-			if !ok || now-row.LostAt > unreachableGone {
+			if a.isGone(row, ok) {
 				s.broken = "worker " + p.Worker + " is gone"
 			}
 			continue
--- a/internal/node/sched/sched_test.go
+++ b/internal/node/sched/sched_test.go
@@ -77,6 +77,26 @@
 	}
 }
 
+// TestTakeoverBlind guards against a second run of a gang whose new scheduler has
+// not heard of any agent yet.
+func TestTakeoverBlind(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld(t)
+		a := w.addEntry("a")
+		time.Sleep(5 * time.Second)
+		w.submit(a, "j", "sales", 16)
+		time.Sleep(100 * time.Millisecond)
+		w.blind = 1500 * time.Millisecond
+		b := w.addEntry("b")
+		a.kill()
+		time.Sleep(settle)
+		assert.Equal(t, b.state("j"), chestnutpond.JobCompleted)
+		assert.Equal(t, w.ends["j"], 1)
+		w.checkRuns(t)
+		assert.Equal(t, w.startsOf("j"), 2, "both members started once")
+	})
+}
+
 // TestPausedHolder guards against a scheduler that goes on with a term that was
 // claimed by another while it could not see it.
 func TestPausedHolder(t *testing.T) {
