Separate what callers usually send from surplus

Ruled out: an even share by lane before callers; it protects other kinds but not the ordinary requests of the flooded kind. Change: each caller has an allowance from its service in the last ten minutes, with slack and a floor; what goes beyond is surplus and stands back inside its account. A request is refused if half its time would pass in the queue.

--- a/internal/core/admit/bound.go
+++ b/internal/core/admit/bound.go
@@ -42,15 +42,16 @@
 	return victims, true
 }
 
-// over reports whether the flow is longer than the caller's queue would be in
-// the lane after one more request.
+// over reports whether the flow has to give up a request for one of the caller in
+// the lane: surplus gives way to usual requests, and a longer queue to a shorter.
 func over(f *flow, l *lane, c *caller) bool {
+	if f.share.lane.surplus != l.surplus {
+		return f.share.lane.surplus
+	}
 	own := 0
-	if c != nil {
-		for _, o := range c.flows {
-			if o.share.lane == l {
-				own = o.n
-			}
+	for _, o := range c.flows {
+		if o.share.lane == l {
+			own = o.n
 		}
 	}
 	return f.n > own+1
@@ -142,25 +143,33 @@
 	if w.flow.n == 0 {
 		c.drop(w.flow)
 	}
+	q.settle(c)
+}
+
+// settle puts a caller without requests into the idle list. One that was never
+// served is the next to be forgotten, so that a flood under many names does not
+// drive out what is known of others.
+func (q *Queue) settle(c *caller) {
 	if c.waiting > 0 || c.running > 0 || c.idle {
 		return
 	}
 	c.idle = true
-	c.idlePrev = q.idleLast
-	if q.idleLast != nil {
-		q.idleLast.idleNext = c
-	} else {
-		q.idleFirst = c
+	switch {
+	case q.idleFirst == nil:
+		q.idleFirst, q.idleLast = c, c
+	case c.used.sum == 0:
+		c.idleNext, q.idleFirst.idlePrev, q.idleFirst = q.idleFirst, c, c
+	default:
+		c.idlePrev, q.idleLast.idleNext, q.idleLast = q.idleLast, c, c
 	}
-	q.idleLast = c
 	for q.known > q.cfg.CallerLimit && q.idleFirst != nil {
 		q.dropCaller(q.idleFirst)
 	}
 	q.dropAccount(c.account)
 }
 
-func (q *Queue) addCaller(a *account, name string) *caller {
-	c := &caller{name: name, account: a}
+func (q *Queue) addCaller(a *account, now time.Duration, name string) *caller {
+	c := &caller{name: name, account: a, tokens: 2 * q.mean, tokensAt: now}
 	a.callers[name] = c
 	q.known++
 	return c
@@ -210,23 +219,37 @@
 
 // lane returns the lane of the kind. A class that is not one of the three counts
 // as bulk, which bounds the number of lanes.
-func (q *Queue) lane(kind string, class chestnutpond.Class) *lane {
+func (q *Queue) lane(kind string, class chestnutpond.Class, surplus bool) *lane {
 	if class.Rank() > chestnutpond.ClassBulk.Rank() {
 		class = chestnutpond.ClassBulk
 	}
+	var twin *lane
 	for _, l := range q.lanes {
-		if l.kind == kind && l.class == class {
+		if l.kind != kind || l.class != class {
+			continue
+		}
+		if l.surplus == surplus {
 			return l
 		}
+		twin = l
+	}
+	l := newLane(kind, class)
+	if twin != nil {
+		l.cost = twin.cost
+	} else {
+		l.cost = &cost{mean: q.mean}
 	}
-	lead := 0.0
 	switch class {
 	case chestnutpond.ClassUrgent:
-		lead = q.cfg.UrgentLead
+		l.lead = q.cfg.UrgentLead
 	case chestnutpond.ClassStandard:
-		lead = q.cfg.StandardLead
+		l.lead = q.cfg.StandardLead
+	}
+	l.inner = l.lead
+	if surplus {
+		l.surplus, l.lead = true, 0
+		l.inner -= q.cfg.SurplusLag
 	}
-	l := newLane(kind, class, q.mean, lead)
 	q.lanes = append(q.lanes, l)
 	return l
 }
--- a/internal/core/admit/config.go
+++ b/internal/core/admit/config.go
@@ -23,6 +23,16 @@
 	// default. Bulk has no lead.
 	UrgentLead   float64
 	StandardLead float64
+	// SurplusLag is how far, in requests of average length, the surplus of an
+	// account stands back behind what its callers usually send; 64 by default.
+	SurplusLag float64
+	// UsualTime is the time over which a caller's usual service is averaged; 10
+	// min by default.
+	UsualTime time.Duration
+	// Patience is the part of the time to its deadline that a request may be
+	// expected to wait; it is refused on arrival if it would wait longer. Half by
+	// default: estimates are off, and what waits in vain is told late.
+	Patience float64
 	// Credit is how far, in requests of average length, a group that was idle
 	// may lag behind the others when it comes back; 8 by default.
 	Credit float64
@@ -63,6 +73,9 @@
 	c.CallerLimit = orInt(c.CallerLimit, 16384)
 	c.UrgentLead = orFloat(c.UrgentLead, 8)
 	c.StandardLead = orFloat(c.StandardLead, 3)
+	c.SurplusLag = orFloat(c.SurplusLag, 64)
+	c.UsualTime = orTime(c.UsualTime, 10*time.Minute)
+	c.Patience = orFloat(c.Patience, 0.5)
 	c.Credit = orFloat(c.Credit, 8)
 	c.ServiceGuess = orTime(c.ServiceGuess, 500*time.Millisecond)
 	c.RetryMin = orTime(c.RetryMin, time.Second)
--- a/internal/core/admit/group.go
+++ b/internal/core/admit/group.go
@@ -11,7 +11,6 @@
 	item Item
 	// seq orders requests by age; it is unique.
 	seq  uint64
-	at   time.Duration
 	flow *flow
 	// giveUp is when the request can no longer be answered in time; negative if
 	// it has no deadline.
@@ -26,15 +25,23 @@
 	deadlineAt int
 }
 
-// lane is one kind in one class.
-type lane struct {
-	kind  string
-	class chestnutpond.Class
+// cost is what is known of the service time of a kind.
+type cost struct {
 	// mean is the moving average of the service time in seconds.
 	mean float64
-	// lead is how far ahead of its share an account may be served, in requests.
-	lead float64
-	n    int
+}
+
+// lane is one kind in one class, either what callers usually send or what goes
+// beyond it.
+type lane struct {
+	kind    string
+	class   chestnutpond.Class
+	surplus bool
+	cost    *cost
+	// lead is how far ahead of its share an account may be served, in requests;
+	// inner is the same for the lane among those of an account.
+	lead, inner float64
+	n           int
 	// shares holds the accounts with requests waiting in this lane.
 	shares heap[*share]
 	// longest has the flow with the most requests on top.
@@ -77,6 +84,11 @@
 	flows   []*flow
 	// waiting and running count the caller's requests.
 	waiting, running int
+	used             usage
+	// tokens is the service in seconds, as of tokensAt, that may come before the
+	// caller's requests count as surplus.
+	tokens   float64
+	tokensAt time.Duration
 
 	idlePrev, idleNext *caller
 	idle               bool
@@ -92,6 +104,7 @@
 	// laneTag and callerTag are the virtual times of the account's lanes and
 	// callers: the greatest tag that was served.
 	laneTag, callerTag float64
+	used               usage
 	n                  int
 	shares             []*share
 	callers            map[string]*caller
@@ -137,8 +150,8 @@
 	f.n--
 }
 
-func newLane(kind string, class chestnutpond.Class, mean, lead float64) *lane {
-	l := &lane{kind: kind, class: class, mean: mean, lead: lead}
+func newLane(kind string, class chestnutpond.Class) *lane {
+	l := &lane{kind: kind, class: class}
 	l.shares = heap[*share]{
 		less: func(a, b *share) bool {
 			if a.account.tag != b.account.tag {
@@ -172,7 +185,12 @@
 	return s
 }
 
+// longer orders flows by what they give up when a queue is full: surplus before
+// usual requests, then the longest.
 func longer(a, b *flow) bool {
+	if a.share.lane.surplus != b.share.lane.surplus {
+		return a.share.lane.surplus
+	}
 	if a.n != b.n {
 		return a.n > b.n
 	}
--- a/internal/core/admit/queue.go
+++ b/internal/core/admit/queue.go
@@ -52,6 +52,8 @@
 	tag float64
 	// mean is the moving average of the service time over all kinds, in seconds.
 	mean float64
+	// start is when the first request came; negative before.
+	start time.Duration
 	// known counts the callers in memory; idle lists those without requests,
 	// oldest first.
 	known               int
@@ -69,6 +71,7 @@
 		kinds:      map[string]bool{},
 		mean:       cfg.ServiceGuess.Seconds(),
 		meanWeight: 1,
+		start:      -1,
 	}
 	q.big = heap[*account]{less: heavier, at: func(a *account) *int { return &a.bigAt }}
 	q.deadline = heap[*waiter]{
@@ -99,20 +102,44 @@
 	if _, ok := q.items[it.ID]; ok {
 		return q.refuse(chestnutpond.ReasonInProgress, 0)
 	}
-	l := q.lane(it.Kind, it.Class)
-	s := a.share(l)
+	if q.start < 0 {
+		q.start = now
+	}
 	c := a.callers[it.Caller]
-	w := &waiter{item: it, at: now, giveUp: q.giveUp(now, it, l), deadlineAt: -1}
-	wait := q.wait(now, s, c)
-	if w.giveUp >= 0 && now+wait >= w.giveUp {
-		return q.refuse(chestnutpond.ReasonDeadline, wait)
+	if c == nil {
+		c = q.addCaller(a, now, it.Caller)
 	}
-	if c != nil && c.waiting >= q.callerLimit(a) {
-		return q.refuse(chestnutpond.ReasonCallerLimit, wait)
+	// The caller must not be forgotten while others are displaced.
+	q.unidle(c)
+	v := q.offer(now, a, c, it)
+	q.settle(c)
+	return v
+}
+
+// offer admits or refuses a request of a known caller.
+func (q *Queue) offer(now time.Duration, a *account, c *caller, it Item) Verdict {
+	l := q.lane(it.Kind, it.Class, false)
+	if !q.takesUsual(now, c, l.cost.mean) {
+		l = q.lane(it.Kind, it.Class, true)
 	}
+	s := a.share(l)
+	w := &waiter{item: it, giveUp: q.giveUp(now, it, l), deadlineAt: -1}
+	wait := q.wait(now, s, c)
+	reason := chestnutpond.Reason("")
 	victims, ok := q.room(a, l, c)
-	if !ok {
-		return q.refuse(chestnutpond.ReasonQueueFull, wait)
+	switch {
+	case w.giveUp >= 0 && (w.giveUp <= now || wait >= time.Duration(q.cfg.Patience*float64(w.giveUp-now))):
+		reason = chestnutpond.ReasonDeadline
+	case c.waiting >= q.callerLimit(a):
+		reason = chestnutpond.ReasonCallerLimit
+	case !ok:
+		reason = chestnutpond.ReasonQueueFull
+	}
+	if reason != "" {
+		if !l.surplus {
+			c.tokens += l.cost.mean
+		}
+		return q.refuse(reason, wait)
 	}
 	v := Verdict{Admitted: true}
 	for _, f := range victims {
@@ -121,9 +148,6 @@
 		q.forget(last)
 		v.Displaced = append(v.Displaced, last.item)
 	}
-	if c = a.callers[it.Caller]; c == nil {
-		c = q.addCaller(a, it.Caller)
-	}
 	q.seq++
 	w.seq = q.seq
 	w.flow = c.flow(s, q.seq)
--- a/internal/core/admit/serve.go
+++ b/internal/core/admit/serve.go
@@ -25,12 +25,12 @@
 	w.running = true
 	w.flow.caller.running++
 	q.departed(now, s)
-	w.charged = s.lane.mean
+	w.charged = s.lane.cost.mean
 	a, c := s.account, w.flow.caller
 	q.tag = max(q.tag, a.tag)
 	a.laneTag = max(a.laneTag, s.tag)
 	a.callerTag = max(a.callerTag, c.tag)
-	q.charge(w, w.charged)
+	q.charge(now, w, w.charged)
 	return w.item, true
 }
 
@@ -44,7 +44,7 @@
 			continue
 		}
 		a := l.shares.top().account
-		key := a.tag - l.lead*q.mean + l.mean/a.weight
+		key := a.tag - l.lead*q.mean + l.cost.mean/a.weight
 		if best == nil || key < bestKey {
 			best, bestKey = a, key
 		}
@@ -60,7 +60,7 @@
 		if s.n == 0 || !s.lane.servable {
 			continue
 		}
-		key := s.tag - s.lane.lead*q.mean + s.lane.mean
+		key := s.tag - s.lane.inner*q.mean + s.lane.cost.mean
 		if best == nil || key < bestKey {
 			best, bestKey = s, key
 		}
@@ -70,16 +70,16 @@
 
 // Done ends a running request that was served for that long. A zero time means
 // that it did not run: its share gets the service back.
-func (q *Queue) Done(_ time.Duration, id string, served time.Duration) {
+func (q *Queue) Done(now time.Duration, id string, served time.Duration) {
 	w, ok := q.items[id]
 	if !ok || !w.running {
 		return
 	}
 	s := max(served.Seconds(), 0)
-	q.charge(w, s-w.charged)
+	q.charge(now, w, s-w.charged)
 	if s > 0 {
-		l := w.flow.share.lane
-		l.mean += meanStep * (s - l.mean)
+		k := w.flow.share.lane.cost
+		k.mean += meanStep * (s - k.mean)
 		q.mean += meanStep * (s - q.mean)
 	}
 	w.running = false
@@ -95,7 +95,7 @@
 	if !ok || !w.running {
 		return false
 	}
-	q.charge(w, -w.charged)
+	q.charge(now, w, -w.charged)
 	w.charged = 0
 	w.running = false
 	w.flow.caller.running--
@@ -105,7 +105,8 @@
 }
 
 // charge adds service in seconds to the tags of the request's groups.
-func (q *Queue) charge(w *waiter, service float64) {
+func (q *Queue) charge(now time.Duration, w *waiter, service float64) {
+	q.use(now, w, service)
 	s, c := w.flow.share, w.flow.caller
 	a := s.account
 	a.tag += service / a.weight
@@ -130,17 +131,14 @@
 	c.tag = max(c.tag, a.callerTag-credit)
 }
 
-// wait estimates how long a new request of the caller would wait. The caller is
-// nil if it has nothing waiting.
+// wait estimates how long a new request of the caller would wait.
 func (q *Queue) wait(now time.Duration, s *share, c *caller) time.Duration {
 	if s.n == 0 || s.gap == 0 {
 		return 0
 	}
 	own := 0
-	if c != nil {
-		if f := c.find(s); f != nil {
-			own = f.n
-		}
+	if f := c.find(s); f != nil {
+		own = f.n
 	}
 	ahead := min(s.n, (own+1)*s.flows.len())
 	gap := max(s.gap, (now-s.busySince).Seconds()/2)
@@ -166,7 +164,7 @@
 	if it.Deadline <= 0 {
 		return -1
 	}
-	margin := time.Duration(l.mean / 2 * float64(time.Second))
+	margin := time.Duration(l.cost.mean / 2 * float64(time.Second))
 	return it.Deadline - min(margin, max(it.Deadline-now, 0)/4)
 }
 
--- /dev/null
+++ b/internal/core/admit/usual.go
@@ -0,0 +1,75 @@
+package admit
+
+import (
+	"math"
+	"time"
+)
+
+const (
+	// usualSlack is how far above its usual service a caller may go before its
+	// requests count as surplus.
+	usualSlack = 1.5
+	// floorShare is the part of an even share of its account's usual service that
+	// every caller has, also a new one.
+	floorShare = 0.25
+	// burst is the time over which a caller may use its allowance at once.
+	burst = 30 * time.Second
+	// surplusWeight is how much of the service of surplus requests counts towards
+	// the usual service. A flood of ten minutes must not become the usual.
+	surplusWeight = 0.1
+	// learnMin is the shortest time over which usual service is averaged.
+	learnMin = time.Minute
+)
+
+// usage is a sum of service in seconds that fades with time.
+type usage struct {
+	sum float64
+	at  time.Duration
+}
+
+func (u *usage) fade(now, over time.Duration) float64 {
+	if now > u.at {
+		u.sum *= math.Exp(-float64(now-u.at) / float64(over))
+		u.at = now
+	}
+	return u.sum
+}
+
+// usual turns a sum into service per second.
+func (q *Queue) usual(now time.Duration, u *usage) float64 {
+	age := max(now-q.start, learnMin)
+	over := q.cfg.UsualTime.Seconds()
+	return u.fade(now, q.cfg.UsualTime) / (over * (1 - math.Exp(-age.Seconds()/over)))
+}
+
+// allowance returns the service per second that is not surplus for the caller.
+func (q *Queue) allowance(now time.Duration, c *caller) float64 {
+	even := q.usual(now, &c.account.used) / float64(max(len(c.account.callers), 1))
+	return usualSlack*q.usual(now, &c.used) + floorShare*even
+}
+
+// takesUsual reports whether a request of that length is within what its caller
+// usually gets, and takes it from the allowance. While nothing waits, everything
+// is.
+func (q *Queue) takesUsual(now time.Duration, c *caller, service float64) bool {
+	allow := q.allowance(now, c)
+	c.tokens = min(c.tokens+allow*(now-c.tokensAt).Seconds(), allow*burst.Seconds()+2*q.mean)
+	c.tokensAt = now
+	if c.tokens < service && q.n > 0 {
+		return false
+	}
+	c.tokens = max(c.tokens-service, 0)
+	return true
+}
+
+// use counts service towards what is usual.
+func (q *Queue) use(now time.Duration, w *waiter, service float64) {
+	if w.flow.share.lane.surplus {
+		service *= surplusWeight
+	}
+	c := w.flow.caller
+	for _, u := range []*usage{&c.used, &c.account.used} {
+		u.fade(now, q.cfg.UsualTime)
+		u.sum = max(u.sum+service, 0)
+	}
+}
