Answers to agents hold only what changed

Cause: each change of the log woke every Announce stream, and each answer carried the addresses of all entries. At 250 agents a home, 33 entries and half a record a second that would be tens of KB/s against the 4 KB/s of a node.

Ruled out: waking only the streams that a change concerns (needs an index from jobs to agents; the empty comparison is cheap).

Change: interval, addresses and document are sent when they differ from the last answer; a change of the log without news for the agent sends nothing; a heartbeat is answered with an empty message.

Before: every answer repeated interval, version and addresses.

Conclusion: traffic to idle agents no longer depends on the number of entries or on the rate of the log.

--- a/internal/node/peers/home.go
+++ b/internal/node/peers/home.go
@@ -2,10 +2,13 @@
 
 import (
 	"fmt"
+	"slices"
+	"time"
 
 	"google.golang.org/grpc"
 	"google.golang.org/grpc/codes"
 	"google.golang.org/grpc/status"
+	"google.golang.org/protobuf/proto"
 	"google.golang.org/protobuf/types/known/durationpb"
 
 	"github.com/chestnutpond/chestnutpond"
@@ -28,8 +31,10 @@
 	name string
 	// version is the document version in force at the agent.
 	version int64
-	// sentVersion is the version of the last document sent on this stream.
-	sentVersion int64
+	// sentVersion, sentInterval and sentEntries are what this stream sent last.
+	sentVersion  int64
+	sentInterval time.Duration
+	sentEntries  []string
 }
 
 // Announce serves one agent until its stream ends.
@@ -63,6 +68,7 @@
 }
 
 func (s *session) serve() error {
+	asked := false
 	for {
 		select {
 		case req, ok := <-s.received:
@@ -72,7 +78,9 @@
 			if !s.hear(req) {
 				return status.Error(codes.InvalidArgument, "the first message must carry the member row")
 			}
+			asked = true
 		case <-s.signal:
+			asked = false
 		}
 		if s.group.isDraining() {
 			return status.Error(codes.Unavailable, "entry is draining")
@@ -80,7 +88,7 @@
 		if !s.group.vouches() {
 			return status.Error(codes.Unavailable, "entry is cut off from the log and from most entries")
 		}
-		if err := s.send(); err != nil {
+		if err := s.send(asked); err != nil {
 			return err
 		}
 	}
@@ -152,24 +160,36 @@
 	}
 }
 
-// send answers with what the agent must know. An agent that did not announce
-// its row yet gets nothing.
-func (s *session) send() error {
+// send tells the agent what is new. Every message of the agent is answered, even
+// without news; a change of the log is not, because most changes concern other
+// agents. An agent that did not announce its row yet gets nothing.
+func (s *session) send(asked bool) error {
 	if s.name == "" {
 		return nil
 	}
-	return s.stream.Send(s.reply())
+	reply := s.reply()
+	if !asked && proto.Size(reply) == 0 {
+		return nil
+	}
+	return s.stream.Send(reply)
 }
 
+// reply holds only what changed since the last one on this stream, so that the
+// answer to a heartbeat is empty as a rule.
 func (s *session) reply() *inner.AnnounceReply {
 	g := s.group
 	g.mu.Lock()
 	interval := g.table.Interval()
 	row, known := g.table.Get(s.name)
 	g.mu.Unlock()
-	reply := &inner.AnnounceReply{
-		Heartbeat: durationpb.New(interval),
-		Entries:   g.addresses(),
+	reply := &inner.AnnounceReply{}
+	if interval != s.sentInterval {
+		s.sentInterval = interval
+		reply.Heartbeat = durationpb.New(interval)
+	}
+	if entries := g.addresses(); !slices.Equal(entries, s.sentEntries) {
+		s.sentEntries = entries
+		reply.Entries = entries
 	}
 	g.cfg.Tail.View(func(st *ledger.State) {
 		s.addConfig(reply, st)
@@ -183,12 +203,9 @@
 
 func (s *session) addConfig(reply *inner.AnnounceReply, st *ledger.State) {
 	config, ok := st.Current()
-	if !ok {
-		return
-	}
-	reply.Service = config.Service
-	reply.ConfigVersion = config.Version
-	if config.Version > s.version && config.Version > s.sentVersion {
+	if ok && config.Version > s.version && config.Version > s.sentVersion {
+		reply.Service = config.Service
+		reply.ConfigVersion = config.Version
 		reply.Document = config.Document
 		s.sentVersion = config.Version
 	}
