Agent: tables of refusals, reasons of ends kept, worker's word on renewals

A stop no longer replaces the reason of a task that has ended. A renewal that the worker refuses makes the agent stop the task before its accelerators count as free. Refusals for lack of a slot are counted and not recorded as events.

--- /dev/null
+++ b/internal/core/aged/aged_test.go
@@ -0,0 +1,34 @@
+package aged
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+)
+
+// Guards the promise of the map: an accepted entry is found as long as it is
+// below the minimum age, and the limit is kept.
+func TestNeverForgetsEarly(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		const age = 10 * time.Second
+		m := New[int](Config{Limit: 5, MinAge: age})
+		now := time.Unix(0, 0)
+		put := map[string]time.Time{}
+		for i := range 60 {
+			now = now.Add(time.Duration(rapid.IntRange(0, 4).Draw(t, "s")) * time.Second)
+			key := fmt.Sprint(rapid.IntRange(0, 12).Draw(t, "key"))
+			if m.Put(key, i, now) {
+				put[key] = now
+			}
+			assert.Assert(t, m.Len() <= 5)
+			for k, at := range put {
+				if _, ok := m.Get(k); !ok {
+					assert.Assert(t, now.Sub(at) >= age)
+				}
+			}
+		}
+	})
+}
--- a/internal/core/gangs/drive.go
+++ b/internal/core/gangs/drive.go
@@ -98,15 +98,11 @@
 	t.update(key, now, func(task *task) { task.lapses = later(task.lapses, now.Add(TaskLease)) })
 }
 
-// Gone reports that the worker does not run the task and has no end of it.
+// Gone reports that the worker refused a renewal because it does not run the
+// task. The task is stopped all the same before its accelerators are free.
 func (t *Table) Gone(key Key, now time.Time) {
 	t.update(key, now, func(task *task) {
-		switch task.phase {
-		case running:
-			task.finish(inner.TaskState_TASK_STATE_STOPPED, "the worker no longer runs the task", now)
-		case stopping:
-			task.finish(task.end, task.reason, now)
-		}
+		task.quit(inner.TaskState_TASK_STATE_STOPPED, "the worker no longer runs the task", now)
 	})
 }
 
--- a/internal/core/gangs/table.go
+++ b/internal/core/gangs/table.go
@@ -83,11 +83,13 @@
 	return t.clean
 }
 
-// SetWorkerUp records whether the worker answers.
-func (t *Table) SetWorkerUp(up bool) {
+// SetWorkerUp records whether the worker answers and reports a change.
+func (t *Table) SetWorkerUp(up bool) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	changed := t.workerUp != up
 	t.workerUp = up
+	return changed
 }
 
 // Drain refuses new reservations and commits from now on, and drops the
--- a/internal/core/gangs/task.go
+++ b/internal/core/gangs/task.go
@@ -240,6 +240,10 @@
 // order asks the task to stop. With a checkpoint time the task goes on until
 // the checkpoint is written, at most that long.
 func (t *task) order(checkpoint time.Duration, reason string, now time.Time) {
+	if t.phase >= stopping {
+		// The reason of the end must not be lost.
+		return
+	}
 	hard := now.Add(max(checkpoint, 0))
 	if !t.ordered || hard.Before(t.hard) {
 		t.hard = hard
--- a/internal/node/agent/serve.go
+++ b/internal/node/agent/serve.go
@@ -33,24 +33,29 @@
 	select {
 	case <-attempt.Done():
 		reply := attempt.Reply()
-		s.agent.countReply(req, reply)
+		s.agent.countReply(req, reply, fresh)
 		return reply, nil
 	case <-ctx.Done():
 		return nil, status.FromContextError(ctx.Err()).Err()
 	}
 }
 
-// countReply records a refusal or an answer.
-func (a *Agent) countReply(req *inner.ServeRequest, reply *inner.ServeReply) {
+// countReply counts a refusal or an answer. Refusals for lack of a slot are not
+// recorded as events, because a flood of them would push all others out of the
+// ring; neither are answers to repeats.
+func (a *Agent) countReply(req *inner.ServeRequest, reply *inner.ServeReply, fresh bool) {
 	e := chestnutpond.Event{Request: req.GetRequest(), Account: req.GetAccount()}
 	if reply.GetOutcome() == inner.OutcomeCode_OUTCOME_CODE_NOT_RUN {
 		a.meters.refused.Inc(1)
 		e.Kind, e.Detail = chestnutpond.EventRefused, reply.GetReason()
+		fresh = reply.GetRefusal() != inner.Refusal_REFUSAL_NO_SLOT
 	} else {
 		a.meters.served.Inc(1)
 		e.Kind, e.Detail = chestnutpond.EventServed, reply.GetOutcome().String()
 	}
-	a.record(e)
+	if fresh {
+		a.record(e)
+	}
 }
 
 // serveAttempt runs an admitted attempt on the upstream.
--- a/internal/node/agent/worker.go
+++ b/internal/node/agent/worker.go
@@ -22,7 +22,7 @@
 	defer ticker.Stop()
 	for {
 		if w.agent.gangs.Clean() {
-			// An error has been recorded by poll; the next tick tries again.
+			// After an error the next tick tries again.
 			_ = w.agent.poll(ctx)
 		} else {
 			w.clean(ctx)
@@ -89,9 +89,10 @@
 	defer cancel()
 	asked := time.Now()
 	list, err := a.cfg.Worker.Tasks(ctx)
-	a.gangs.SetWorkerUp(err == nil)
+	if a.gangs.SetWorkerUp(err == nil) {
+		a.cfg.Log.Warn("agent: worker changed", "answers", err == nil, "error", err)
+	}
 	if err != nil {
-		a.cfg.Log.Warn("agent: worker does not answer", "error", err)
 		return err
 	}
 	for _, id := range a.gangs.Report(list, asked, time.Now()) {
--- a/internal/node/links/links.go
+++ b/internal/node/links/links.go
@@ -27,7 +27,7 @@
 	// IdleLimit is how long an unused connection to a leader stays open.
 	IdleLimit = 30 * time.Second
 	// MaxMessage bounds a message; requests and answers carry whole bodies.
-	MaxMessage = 32 << 20
+	MaxMessage = 64 << 20
 )
 
 // Dialer opens and keeps connections. It has no goroutine of its own; Sweep
