A request that an agent refused keeps its place in the queue

Cause: in a trial with three real entries a request whose slot another entry took first used up its retries within milliseconds and was answered not_run, although it had seconds left.

Ruled out: a larger retry budget (refusals are no retries: nothing ran).

Change: a proven refusal puts the request back at the head of its queue until its deadline; the retry budget counts only sends with an unknown outcome.

Conclusion: refusals by agents no longer reach callers while there is time.

--- a/internal/node/serve/fake_test.go
+++ b/internal/node/serve/fake_test.go
@@ -58,6 +58,8 @@
 	done   map[string]*inner.ServeReply
 	fenced map[string]bool
 	took   time.Duration
+	// refuseUntil is when the agent begins to take requests.
+	refuseUntil time.Time
 }
 
 func newAgent(name string, faults ...fault) *fakeAgent {
@@ -70,6 +72,9 @@
 func (a *fakeAgent) next() fault {
 	a.mu.Lock()
 	defer a.mu.Unlock()
+	if time.Now().Before(a.refuseUntil) {
+		return faultRefused
+	}
 	if len(a.faults) == 0 {
 		return faultNone
 	}
--- a/internal/node/serve/queue.go
+++ b/internal/node/serve/queue.go
@@ -11,11 +11,28 @@
 
 // acquire waits in the admission queue for a target with a free slot. The
 // caller ends the item with s.done when it got a target.
-func (s *Server) acquire(ctx context.Context, r Request, deadline time.Duration) (string, *Result) {
-	w := &waiter{kind: r.Kind.Name, bytes: len(r.Body), granted: make(chan grant, 1)}
+func (s *Server) acquire(ctx context.Context, r Request, w *waiter, deadline time.Duration) (string, *Result) {
 	if refused := s.offer(r, w, deadline); refused != nil {
 		return "", refused
 	}
+	return s.await(ctx, r, w)
+}
+
+// putBack returns a request that did not run to the head of its queue and waits
+// for another target.
+func (s *Server) putBack(ctx context.Context, r Request, w *waiter) (string, *Result) {
+	s.mu.Lock()
+	if !s.queue.PutBack(s.now(), r.ID) {
+		s.mu.Unlock()
+		return "", notRun(chestnutpond.ReasonNoUpstream)
+	}
+	s.waiting[r.ID] = w
+	s.dispatch()
+	s.mu.Unlock()
+	return s.await(ctx, r, w)
+}
+
+func (s *Server) await(ctx context.Context, r Request, w *waiter) (string, *Result) {
 	select {
 	case g := <-w.granted:
 		return g.target, g.refused
--- a/internal/node/serve/send.go
+++ b/internal/node/serve/send.go
@@ -39,21 +39,34 @@
 
 // serve sends a request until it is answered, or must not be sent again.
 func (s *Server) serve(ctx context.Context, r Request, deadline time.Duration) Result {
-	target, refused := s.acquire(ctx, r, deadline)
+	w := &waiter{kind: r.Kind.Name, bytes: len(r.Body), granted: make(chan grant, 1)}
+	target, refused := s.acquire(ctx, r, w, deadline)
 	if refused != nil {
 		return *refused
 	}
 	began := s.now()
 	defer func() { s.done(r, s.now()-began) }()
 	var tried []string
+	retries := 0
 	for number := 1; ; number++ {
-		tried = append(tried, target)
 		v := s.attempt(r, target, number, deadline)
 		res := resultOf(v, target)
 		if res.Outcome == chestnutpond.OutcomeAnswered {
 			return res
 		}
-		delay, again := s.retry(r, v, number, deadline)
+		if v.notRun() && v.refusal != inner.Refusal_REFUSAL_DEADLINE {
+			// Other entries took the slot first, or the agent leaves. The request
+			// keeps its place in the queue until its deadline.
+			target, refused = s.putBack(ctx, r, w)
+			if refused != nil {
+				return *refused
+			}
+			began = s.now()
+			continue
+		}
+		retries++
+		tried = append(tried, target)
+		delay, again := s.retry(r, v, retries, deadline)
 		if !again {
 			return res
 		}
