A granted request without a target goes back to its queue

Ruled out: holding a slot between CanServe and Pick (both run under one lock; the byte budget and the random choice may still differ).

Change: the dispatcher puts the request back instead of refusing it.

--- a/internal/node/serve/queue.go
+++ b/internal/node/serve/queue.go
@@ -97,14 +97,13 @@
 		if !ok {
 			break
 		}
-		w := s.waiting[it.ID]
-		delete(s.waiting, it.ID)
 		target, ok := s.router.Pick(now, route.Query{Kind: it.Kind, Bytes: it.Bytes})
 		if !ok {
-			s.queue.Done(now, it.ID, 0)
-			w.granted <- grant{refused: notRun(chestnutpond.ReasonNoUpstream)}
-			continue
+			s.queue.PutBack(now, it.ID)
+			break
 		}
+		w := s.waiting[it.ID]
+		delete(s.waiting, it.ID)
 		s.router.Begin(now, target, it.Kind, it.Bytes)
 		w.granted <- grant{target: target}
 	}
