--- a/internal/node/entry/document.go
+++ b/internal/node/entry/document.go
@@ -5,6 +5,7 @@
 	"crypto/rand"
 	"net/http"
 	"strconv"
+	"time"
 
 	"github.com/labstack/echo/v4"
 
@@ -74,10 +75,19 @@
 func (e *Entry) publish(c echo.Context, body ledger.Publish) error {
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(c.Request().Context()), acceptTimeout)
 	defer cancel()
+	if p, ok := e.publication(body.ID); ok {
+		return answerPublication(c, p)
+	}
+	if !e.tail.Loaded() || !e.tail.Available() {
+		return failNotRun(c, chestnutpond.ReasonLogUnavailable, "the log service does not answer", time.Second)
+	}
 	err := e.tail.Append(ctx, body)
 	if p, ok := e.publication(body.ID); ok {
 		return answerPublication(c, p)
 	}
+	if refused(err) {
+		return failNotRun(c, chestnutpond.ReasonLogUnavailable, err.Error(), time.Second)
+	}
 	e.log.Warn("entry: publication not confirmed", "id", body.ID, "error", err)
 	return fail(c, http.StatusGatewayTimeout, failure{
 		Outcome: chestnutpond.OutcomeUnknown, Reason: chestnutpond.ReasonLogUnavailable,
--- a/internal/node/entry/http.go
+++ b/internal/node/entry/http.go
@@ -52,6 +52,7 @@
 	r := echo.New()
 	r.HideBanner = true
 	r.HidePort = true
+	r.HTTPErrorHandler = failRoute
 	r.GET("/healthz", func(c echo.Context) error { return c.String(http.StatusOK, "ok\n") })
 	r.GET("/readyz", e.getReady)
 	r.GET("/metrics", echo.WrapHandler(e.cfg.Metrics))
@@ -68,6 +69,20 @@
 	return r
 }
 
+// failRoute answers what no handler answered: an unknown path or method.
+func failRoute(err error, c echo.Context) {
+	if c.Response().Committed {
+		return
+	}
+	var unrouted *echo.HTTPError
+	if errors.As(err, &unrouted) && unrouted.Code < http.StatusInternalServerError {
+		_ = reject(c, unrouted.Code, chestnutpond.ReasonNoRoute,
+			c.Request().Method+" "+c.Request().URL.Path+" is not part of the interface")
+		return
+	}
+	_ = fail(c, http.StatusInternalServerError, failure{Outcome: chestnutpond.OutcomeUnknown})
+}
+
 func (e *Entry) getReady(c echo.Context) error {
 	if !e.Ready() {
 		return c.String(http.StatusServiceUnavailable, e.notReady())
@@ -93,7 +108,7 @@
 	return func(c echo.Context) error {
 		who, ok := e.identify(c)
 		if !ok {
-			return unauthorized(c)
+			return e.unidentified(c)
 		}
 		if who.operator != "" {
 			return reject(c, http.StatusForbidden, chestnutpond.ReasonUnauthorized, "an operator has no client account")
@@ -119,7 +134,7 @@
 	return func(c echo.Context) error {
 		who, ok := e.identify(c)
 		if !ok {
-			return unauthorized(c)
+			return e.unidentified(c)
 		}
 		return next(c, who)
 	}
@@ -148,6 +163,16 @@
 	return caller{}, false
 }
 
+// unidentified answers a call whose token belongs to nobody. Before the first
+// document this entry knows no account, so it cannot tell a wrong token from a
+// right one.
+func (e *Entry) unidentified(c echo.Context) error {
+	if e.ConfigVersion() == 0 && c.Request().Header.Get(echo.HeaderAuthorization) != "" {
+		return failNotRun(c, chestnutpond.ReasonNoConfig, "this entry has no document yet", time.Second)
+	}
+	return unauthorized(c)
+}
+
 func unauthorized(c echo.Context) error {
 	c.Response().Header().Set(echo.HeaderWWWAuthenticate, "Bearer")
 	return reject(c, http.StatusUnauthorized, chestnutpond.ReasonUnauthorized, "the bearer token is missing or unknown")
--- a/internal/node/entry/jobs.go
+++ b/internal/node/entry/jobs.go
@@ -8,6 +8,7 @@
 	"encoding/hex"
 	"encoding/json"
 	"errors"
+	"io"
 	"net/http"
 	"strconv"
 	"time"
@@ -33,6 +34,10 @@
 	Caller       string                 `json:"caller"`
 }
 
+func (r jobRequest) shape() chestnutpond.Shape {
+	return chestnutpond.Shape{Accelerators: r.Accelerators, Adjacency: r.Adjacency}
+}
+
 // accepted is the answer to an accepted or cancelled job.
 type accepted struct {
 	Outcome chestnutpond.Outcome  `json:"outcome"`
@@ -41,14 +46,20 @@
 }
 
 func (e *Entry) postJob(c echo.Context, who caller) error {
-	spec, bad := e.readJob(c, who)
+	doc, _ := e.current()
+	req, bad := decodeJob(c, doc)
 	if bad != nil {
-		return fail(c, bad.status, failure{
-			Outcome: chestnutpond.OutcomeRejected, Reason: bad.reason, Detail: bad.detail,
-		})
+		return bad.answer(c)
+	}
+	id := jobID(doc.Service, who.account.Name, c.Request().Header.Get(headerKey))
+	// A repeat is answered before the checks, because the document and the
+	// workers may have changed since the job was accepted.
+	if old, ok := e.lookupJob(id); ok {
+		return answerRepeat(c, old, req)
 	}
-	if old, ok := e.lookupJob(spec.ID); ok {
-		return e.answerRepeat(c, old, spec)
+	spec, bad := e.readJob(req, id, who)
+	if bad != nil {
+		return bad.answer(c)
 	}
 	if e.stopping.Load() {
 		return failNotRun(c, chestnutpond.ReasonDraining, "the entry is stopping", time.Second)
@@ -61,20 +72,18 @@
 	if !e.tail.Loaded() || !e.tail.Available() {
 		return failNotRun(c, chestnutpond.ReasonLogUnavailable, "the log service does not answer", time.Second)
 	}
-	return e.accept(c, spec)
+	return e.accept(c, spec, req)
 }
 
-func (e *Entry) accept(c echo.Context, spec chestnutpond.JobSpec) error {
+func (e *Entry) accept(c echo.Context, spec chestnutpond.JobSpec, req jobRequest) error {
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(c.Request().Context()), acceptTimeout)
 	defer cancel()
 	err := e.tail.Append(ctx, ledger.AcceptJob{Spec: spec})
-	if _, ok := e.lookupJob(spec.ID); ok {
+	if job, ok := e.lookupJob(spec.ID); ok {
 		e.cfg.Events.Add(chestnutpond.Event{Kind: chestnutpond.EventAccepted, Job: spec.ID, Account: spec.Account})
-		c.Response().Header().Set(headerOutcome, string(chestnutpond.OutcomeAccepted))
-		return c.JSON(http.StatusAccepted, accepted{Outcome: chestnutpond.OutcomeAccepted, ID: spec.ID})
+		return answerRepeat(c, job, req)
 	}
-	var failed *chestnutpond.AppendError
-	if errors.As(err, &failed) && !failed.Ambiguous {
+	if refused(err) {
 		return failNotRun(c, chestnutpond.ReasonLogUnavailable, err.Error(), time.Second)
 	}
 	return fail(c, http.StatusGatewayTimeout, failure{
@@ -83,10 +92,16 @@
 	})
 }
 
-// answerRepeat answers a repeated submission. A key that was used for another
-// job is the caller's mistake.
-func (e *Entry) answerRepeat(c echo.Context, old ledger.Job, spec chestnutpond.JobSpec) error {
-	if old.Spec.Kind != spec.Kind || old.Spec.Shape != spec.Shape {
+// refused reports whether a failed append surely left nothing in the log.
+func refused(err error) bool {
+	var failed *chestnutpond.AppendError
+	return errors.As(err, &failed) && !failed.Ambiguous
+}
+
+// answerRepeat answers a submission whose job is in the log. A key that was
+// used for another job is the caller's mistake.
+func answerRepeat(c echo.Context, old ledger.Job, req jobRequest) error {
+	if old.Spec.Kind != req.Kind || old.Spec.Shape != req.shape() {
 		return reject(c, http.StatusUnprocessableEntity, chestnutpond.ReasonBadBody,
 			"the key was used for another job: "+string(old.Spec.ID))
 	}
@@ -103,12 +118,13 @@
 	detail string
 }
 
-func (e *Entry) readJob(c echo.Context, who caller) (chestnutpond.JobSpec, *badJob) {
+func (b *badJob) answer(c echo.Context) error { return reject(c, b.status, b.reason, b.detail) }
+
+// readJob checks what a caller asked for against the document and the workers.
+func (e *Entry) readJob(
+	req jobRequest, id chestnutpond.JobID, who caller,
+) (chestnutpond.JobSpec, *badJob) {
 	doc, _ := e.current()
-	req, bad := decodeJob(c, doc)
-	if bad != nil {
-		return chestnutpond.JobSpec{}, bad
-	}
 	kind, ok := doc.Kind(req.Kind)
 	if !ok || kind.Work != chestnutpond.WorkJob {
 		return chestnutpond.JobSpec{}, &badJob{
@@ -126,12 +142,12 @@
 		return chestnutpond.JobSpec{}, bad
 	}
 	region := e.regionFor(req, who.account)
-	shape := chestnutpond.Shape{Accelerators: req.Accelerators, Adjacency: req.Adjacency}
+	shape := req.shape()
 	if bad := e.checkShape(shape, region); bad != nil {
 		return chestnutpond.JobSpec{}, bad
 	}
 	return chestnutpond.JobSpec{
-		ID: jobID(doc.Service, who.account.Name, c.Request().Header.Get(headerKey)), Service: doc.Service,
+		ID: id, Service: doc.Service,
 		Account: who.account.Name, Caller: req.Caller, Kind: kind.Name, Class: kind.Class, Region: region,
 		Shape: shape, Declared: declared, Checkpoint: kind.Checkpoint, MaxAttempts: kind.MaxAttempts,
 		MaxRuntime: kind.MaxRuntime, Payload: req.Payload,
@@ -146,19 +162,17 @@
 	}
 	body, err := readBody(c, limit)
 	if errors.Is(err, errTooLarge) {
-		return jobRequest{}, &badJob{http.StatusRequestEntityTooLarge, chestnutpond.ReasonBodyTooLarge, err.Error()}
+		return jobRequest{}, &badJob{
+			http.StatusRequestEntityTooLarge, chestnutpond.ReasonBodyTooLarge,
+			"the body may have at most " + itoa(limit) + " bytes",
+		}
 	}
 	if err != nil {
 		return jobRequest{}, &badJob{http.StatusBadRequest, chestnutpond.ReasonBadBody, err.Error()}
 	}
-	var req jobRequest
-	decoder := json.NewDecoder(bytes.NewReader(body))
-	decoder.DisallowUnknownFields()
-	if err := decoder.Decode(&req); err != nil {
-		return jobRequest{}, &badJob{
-			http.StatusBadRequest, chestnutpond.ReasonBadBody,
-			"malformed JSON near byte " + itoa(decoder.InputOffset()) + ": " + err.Error(),
-		}
+	req, err := parseJob(body)
+	if err != nil {
+		return jobRequest{}, &badJob{http.StatusBadRequest, chestnutpond.ReasonBadBody, err.Error()}
 	}
 	if len(c.Request().Header.Get(headerKey)) > maxKey || len(req.Caller) > maxCaller {
 		return jobRequest{}, &badJob{
@@ -168,6 +182,35 @@
 	return req, nil
 }
 
+// parseJob reads exactly one JSON object. Its errors name the byte, counted
+// from 0.
+func parseJob(body []byte) (jobRequest, error) {
+	var req jobRequest
+	decoder := json.NewDecoder(bytes.NewReader(body))
+	decoder.DisallowUnknownFields()
+	if err := decoder.Decode(&req); err != nil {
+		return jobRequest{}, Error.New("malformed JSON near byte %d: %v", positionOf(err, decoder, len(body)), err)
+	}
+	if _, err := decoder.Token(); !errors.Is(err, io.EOF) {
+		return jobRequest{}, Error.New("malformed JSON near byte %d: want one object", decoder.InputOffset())
+	}
+	return req, nil
+}
+
+func positionOf(err error, decoder *json.Decoder, size int) int64 {
+	var syntax *json.SyntaxError
+	var kind *json.UnmarshalTypeError
+	switch {
+	case errors.As(err, &syntax):
+		return max(0, syntax.Offset-1)
+	case errors.As(err, &kind):
+		return kind.Offset
+	case errors.Is(err, io.ErrUnexpectedEOF):
+		return int64(size)
+	}
+	return decoder.InputOffset()
+}
+
 func declaredOf(text string) (time.Duration, *badJob) {
 	if text == "" {
 		return 0, nil
@@ -264,6 +307,8 @@
 		return reject(c, http.StatusConflict, chestnutpond.ReasonUnknownJob, "the job has ended: "+string(job.State))
 	case err == nil:
 		return reject(c, http.StatusConflict, chestnutpond.ReasonUnknownJob, "the job is "+string(job.State))
+	case refused(err):
+		return failNotRun(c, chestnutpond.ReasonLogUnavailable, err.Error(), time.Second)
 	}
 	return fail(c, http.StatusGatewayTimeout, failure{
 		Outcome: chestnutpond.OutcomeUnknown, Reason: chestnutpond.ReasonLogUnavailable,
--- a/outcome.go
+++ b/outcome.go
@@ -50,4 +50,6 @@
 	ReasonJobLimit       Reason = "job_limit"
 	ReasonIntentLimit    Reason = "intent_limit"
 	ReasonBase           Reason = "base_version"
+	// ReasonNoRoute means that the HTTP interface has no such path or method.
+	ReasonNoRoute Reason = "no_route"
 )
