Events name their causes; waiting, ejected and lease_lapsed are emitted

Cause: no code set Event.Cause, three kinds of events had no source, an impossible job left no ended event, and the limit of a question for events cut off the asked time. Change: events.Trail links the events of each job inside a process. Prepare, Commit and Stop carry the id of the event that led to them, so an agent's events lead back to the scheduler's. A reclaimed event names the newest event of the claiming job. Accepted and cancelled are recorded when the fold takes the record of this entry, before the scheduler acts on it. EventsRequest has from and to, and the limit counts events within them. Not linked: the placed event of a job that another entry accepted, because the record in the log carries no event id. Ruled out: lanes already draws an arrow for each cause; its test counts them. Before: no event had a cause.

--- a/internal/core/gangs/task.go
+++ b/internal/core/gangs/task.go
@@ -7,6 +7,10 @@
 	"github.com/chestnutpond/chestnutpond/internal/wire/inner"
 )
 
+// ReasonLeaseLapsed is the reason of a task that stopped because it had no
+// confirmation of the whole gang within the gang lease.
+const ReasonLeaseLapsed = "the gang lease lapsed"
+
 // phase is where a task stands at its agent.
 type phase uint8
 
@@ -153,7 +157,7 @@
 	case t.ordered && (!now.Before(t.hard) || t.phase == waiting || t.saved && t.allSaved):
 		t.quit(inner.TaskState_TASK_STATE_STOPPED, t.reason, now)
 	case now.Sub(t.whole) >= GangLease:
-		t.quit(inner.TaskState_TASK_STATE_STOPPED, "the gang lease lapsed", now)
+		t.quit(inner.TaskState_TASK_STATE_STOPPED, ReasonLeaseLapsed, now)
 	case t.phase == running && limit > 0 && now.Sub(t.startedAt) >= limit:
 		t.quit(inner.TaskState_TASK_STATE_FAILED, "the run time limit is over", now)
 	}
--- a/internal/core/ledger/apply.go
+++ b/internal/core/ledger/apply.go
@@ -33,6 +33,8 @@
 	Region  string
 	Job     chestnutpond.JobID
 	Attempt int64
+	// Cancel means that a caller's cancellation had the effect.
+	Cancel bool
 }
 
 // Apply folds the record at the state's next offset. A *FormatError leaves the
@@ -74,7 +76,9 @@
 	case EndJob:
 		return s.end(offset, by, b)
 	case CancelJob:
-		return s.cancel(offset, b)
+		change := s.cancel(offset, b)
+		change.Cancel = change.Kind != ChangeNone
+		return change
 	case Intents:
 		return s.intend(offset, by, b)
 	case CloseIntents:
--- a/internal/core/place/status.go
+++ b/internal/core/place/status.go
@@ -46,6 +46,16 @@
 	return out
 }
 
+// Ejected returns the names of the workers that get no work for a time, in the
+// order of their ejection.
+func (c *Core) Ejected() []string {
+	names := make([]string, 0, len(c.ejected))
+	for _, w := range c.ejected {
+		names = append(names, w.Name)
+	}
+	return names
+}
+
 // Waiting returns why a job waits; ok is false if it does not wait.
 func (c *Core) Waiting(id chestnutpond.JobID) (reason string, ok bool) {
 	j := c.jobs[id]
--- a/internal/node/agent/agent.go
+++ b/internal/node/agent/agent.go
@@ -17,7 +17,8 @@
 // Lock order: Agent.admission or announcer.mu before the lock of slots.Table or
 // gangs.Table; admission and announcer.mu are never held together. The locks of
 // the tables and of links.Dialer are leaves: no other lock is taken and no
-// callback runs while one of them is held.
+// callback runs while one of them is held. The lock of events.Trail is taken
+// before that of the event sink and no other.
 package agent
 
 import (
@@ -35,6 +36,7 @@
 	"github.com/chestnutpond/chestnutpond/internal/core/gangs"
 	"github.com/chestnutpond/chestnutpond/internal/core/slots"
 	"github.com/chestnutpond/chestnutpond/internal/node/links"
+	"github.com/chestnutpond/chestnutpond/internal/obs/events"
 	"github.com/chestnutpond/chestnutpond/internal/obs/stats"
 	"github.com/chestnutpond/chestnutpond/internal/wire/inner"
 )
@@ -102,6 +104,7 @@
 	gangs  *gangs.Table
 	news   *news
 	meters *meters
+	events *events.Trail
 	home   *announcer
 	// listener is nil in tests without sockets.
 	listener net.Listener
@@ -156,6 +159,7 @@
 		net:    n,
 		news:   newNews(),
 		meters: newMeters(cfg.Metrics),
+		events: events.NewTrail(cfg.Events),
 		calls:  make(chan *slots.Attempt, max(cfg.Slots, 1)),
 		probe:  make(chan struct{}, 1),
 	}
@@ -194,7 +198,7 @@
 // record adds an event with the agent's name as the upstream.
 func (a *Agent) record(e chestnutpond.Event) {
 	e.Upstream = a.cfg.Name
-	a.cfg.Events.Add(e)
+	a.events.Add(e)
 }
 
 // recordTask adds an event about one task.
--- a/internal/node/agent/serve.go
+++ b/internal/node/agent/serve.go
@@ -134,6 +134,7 @@
 	if v.OK {
 		s.agent.record(chestnutpond.Event{
 			Kind: chestnutpond.EventPrepared, Job: chestnutpond.JobID(req.GetJob()), Attempt: req.GetAttempt(),
+			Cause: chestnutpond.EventID(req.GetCause()),
 		})
 	}
 	return &inner.PrepareReply{Held: v.OK, Refusal: v.Refusal, Reason: v.Reason}, nil
@@ -152,6 +153,7 @@
 
 // Stop ends a task and waits for its end as long as the caller does.
 func (s *service) Stop(ctx context.Context, req *inner.StopRequest) (*inner.StopReply, error) {
+	s.agent.events.Follow(chestnutpond.JobID(req.GetJob()), chestnutpond.EventID(req.GetCause()))
 	stop := s.agent.gangs.Stop(req, time.Now())
 	if stop.Done == nil {
 		return stop.Reply, nil
--- a/internal/node/agent/task.go
+++ b/internal/node/agent/task.go
@@ -23,7 +23,10 @@
 	}
 	key := gangs.Key{Job: req.GetJob(), Attempt: req.GetAttempt(), Member: req.GetMember()}
 	signals, _ := a.gangs.Signals(key)
-	a.recordTask(chestnutpond.EventCommitted, key, "")
+	a.record(chestnutpond.Event{
+		Kind: chestnutpond.EventCommitted, Job: chestnutpond.JobID(key.Job), Attempt: key.Attempt,
+		Cause: chestnutpond.EventID(req.GetCause()),
+	})
 	a.tasks.Add(2)
 	go (&driver{agent: a, key: key, signals: signals}).run(a.work)
 	go (&beater{agent: a, key: key, signals: signals}).run(a.work)
@@ -41,6 +44,8 @@
 	agent   *Agent
 	key     gangs.Key
 	signals gangs.Signals
+	// lapsed means that the lapse of the gang lease is recorded.
+	lapsed bool
 }
 
 // run asks for the next step after every wait and every call, so that a lease
@@ -91,6 +96,7 @@
 	case gangs.Renew:
 		d.renewed(ctx, worker.Renew(call, task, gangs.TaskLease))
 	case gangs.Stop:
+		d.noteLapse(step.Reason)
 		err := worker.Stop(call, task)
 		table.Stopped(d.key, err, time.Now())
 		if err != nil {
@@ -115,9 +121,19 @@
 	}
 }
 
+// noteLapse records once that the task stops because its gang lease lapsed.
+func (d *driver) noteLapse(reason string) {
+	if reason != gangs.ReasonLeaseLapsed || d.lapsed {
+		return
+	}
+	d.lapsed = true
+	d.agent.recordTask(chestnutpond.EventLeaseLapsed, d.key, "no word of the whole gang for "+gangs.GangLease.String())
+}
+
 // report records how the task ended.
 func (d *driver) report() {
 	reply := d.agent.gangs.StopReply(d.key, false)
+	d.noteLapse(reply.GetReason())
 	kind := chestnutpond.EventStopped
 	if reply.GetState() != inner.TaskState_TASK_STATE_STOPPED {
 		kind = chestnutpond.EventEnded
--- a/internal/node/agent/world_test.go
+++ b/internal/node/agent/world_test.go
@@ -17,6 +17,7 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/chestnutpond/chestnutpond"
+	"github.com/chestnutpond/chestnutpond/internal/obs/events"
 	"github.com/chestnutpond/chestnutpond/internal/obs/stats"
 	"github.com/chestnutpond/chestnutpond/internal/wire/inner"
 )
@@ -206,6 +207,7 @@
 	// workers and upstreams belong to the agents of the same index.
 	workers   []*fakeWorker
 	upstreams []*fakeUpstream
+	rings     []*events.Ring
 	cancels   []context.CancelFunc
 	done      []chan struct{}
 
@@ -288,6 +290,7 @@
 		w.workers = append(w.workers, newFakeWorker())
 		w.upstreams = append(w.upstreams, &fakeUpstream{})
 		w.agents = append(w.agents, nil)
+		w.rings = append(w.rings, nil)
 		w.cancels = append(w.cancels, nil)
 		w.done = append(w.done, nil)
 		w.boot(i, 1)
@@ -297,12 +300,13 @@
 
 // boot starts an incarnation of an agent.
 func (w *world) boot(i int, incarnation int64) {
+	w.rings[i] = events.New(events.Config{Process: fmt.Sprintf("agent-%d", i), Incarnation: incarnation, RequestShare: -1, Size: 256})
 	cfg := Config{
 		Name: fmt.Sprintf("agent-%d", i), Region: "pampa", Zone: "z", Rack: "r",
 		Incarnation: incarnation, Advertise: fmt.Sprintf("agent-%d", i),
 		Entries: []string{"entry-a", "entry-b"}, Accelerators: 8, Slots: 2, Connections: 4,
 		Kinds: []string{"price_list"}, Worker: w.workers[i], Upstream: w.upstreams[i],
-		Events: noEvents{}, Metrics: stats.New(), Log: slog.New(slog.DiscardHandler),
+		Events: w.rings[i], Metrics: stats.New(), Log: slog.New(slog.DiscardHandler),
 	}
 	ctx, cancel := context.WithCancel(w.t.Context())
 	a, done := assemble(cfg, port{w: w, of: i}), make(chan struct{})
--- a/internal/node/entry/entry.go
+++ b/internal/node/entry/entry.go
@@ -89,11 +89,13 @@
 	inner  net.Listener
 	origin ledger.Origin
 
-	pool  *dials.Pool
-	tail  *tail.Tail
-	group *peers.Group
-	serve *serve.Server
-	sched *sched.Manager
+	// events links the events of each job.
+	events *events.Trail
+	pool   *dials.Pool
+	tail   *tail.Tail
+	group  *peers.Group
+	serve  *serve.Server
+	sched  *sched.Manager
 
 	stopping atomic.Bool
 
@@ -120,6 +122,7 @@
 	}
 	e := &Entry{
 		cfg: cfg, log: cfg.Logs.Logger("entry"), outer: outer, inner: in,
+		events: events.NewTrail(cfg.Events),
 		origin: ledger.Origin{Process: cfg.Name, Incarnation: cfg.Incarnation},
 	}
 	e.wire()
@@ -149,7 +152,7 @@
 	})
 	e.sched = sched.New(sched.Config{
 		Origin: e.origin, Region: cfg.Region, Seed: uint64(cfg.Incarnation), Tail: e.tail, Members: e.group,
-		Dialer: e.pool, Events: cfg.Events, Logger: cfg.Logs.Logger("sched"), Metrics: cfg.Metrics,
+		Dialer: e.pool, Events: e.events, Logger: cfg.Logs.Logger("sched"), Metrics: cfg.Metrics,
 	})
 	e.gauges()
 }
@@ -313,10 +316,29 @@
 	if c.Kind == ledger.ChangeConfig {
 		e.adopt()
 	}
+	e.noteJob(c)
 	e.sched.LogChanged(c)
 	e.group.LogChanged(c)
 }
 
+// noteJob records what callers of this entry did to a job. It comes before the
+// scheduler hears of the change, whose events name this one as their cause.
+func (e *Entry) noteJob(c ledger.Change) {
+	if c.By != e.origin {
+		return
+	}
+	kind := chestnutpond.EventAccepted
+	switch {
+	case c.Kind == ledger.ChangeAccepted:
+	case c.Cancel:
+		kind = chestnutpond.EventCancelled
+	default:
+		return
+	}
+	job, _ := e.lookupJob(c.Job)
+	e.events.Add(chestnutpond.Event{Kind: kind, Job: c.Job, Account: job.Spec.Account})
+}
+
 func (e *Entry) logReplaced() {
 	e.adopt()
 	e.sched.LogReplaced()
--- a/internal/node/entry/jobs.go
+++ b/internal/node/entry/jobs.go
@@ -80,7 +80,6 @@
 	defer cancel()
 	err := e.tail.Append(ctx, ledger.AcceptJob{Spec: spec})
 	if job, ok := e.lookupJob(spec.ID); ok {
-		e.cfg.Events.Add(chestnutpond.Event{Kind: chestnutpond.EventAccepted, Job: spec.ID, Account: spec.Account})
 		return answerRepeat(c, job, req)
 	}
 	if refused(err) {
@@ -300,7 +299,6 @@
 	job, _ := e.lookupJob(id)
 	switch {
 	case job.State == chestnutpond.JobCancelled || job.State == chestnutpond.JobStopping:
-		e.cfg.Events.Add(chestnutpond.Event{Kind: chestnutpond.EventCancelled, Job: id, Account: job.Spec.Account})
 		c.Response().Header().Set(headerOutcome, string(chestnutpond.OutcomeCancelled))
 		return c.JSON(http.StatusOK, accepted{Outcome: chestnutpond.OutcomeCancelled, ID: id, State: job.State})
 	case job.State.Final():
--- a/internal/node/entry/timeln.go
+++ b/internal/node/entry/timeln.go
@@ -55,6 +55,7 @@
 	}
 	req := &inner.EventsRequest{
 		Job: string(filter.Job), Request: filter.Request, Upstream: filter.Upstream, Limit: int32(limit),
+		FromUnixNano: nanosOf(filter.From), ToUnixNano: nanosOf(filter.To),
 	}
 	gathered := e.collect(c.Request().Context(), req)
 	view := eventsView{Events: []eventView{}, Dropped: gathered.dropped, Unreachable: gathered.unreachable}
@@ -99,6 +100,14 @@
 	return time.Parse(time.RFC3339Nano, text)
 }
 
+// nanosOf returns a bound of the inner protocol; the zero time is no bound.
+func nanosOf(t time.Time) int64 {
+	if t.IsZero() {
+		return 0
+	}
+	return t.UnixNano()
+}
+
 // gathering collects the events of all processes.
 type gathering struct {
 	// mu guards the fields below; no other lock is taken under it.
--- /dev/null
+++ b/internal/node/entry/timeln_test.go
@@ -0,0 +1,74 @@
+package entry
+
+import (
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"net/url"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/chestnutpond/chestnutpond"
+)
+
+func (w *world) timeline(query url.Values) []eventView {
+	w.t.Helper()
+	got := w.send(call{method: "GET", path: "/v1/events?" + query.Encode(), token: operatorToken})
+	assert.Equal(w.t, got.status, http.StatusOK, got.text)
+	var view eventsView
+	assert.NilError(w.t, json.Unmarshal([]byte(got.text), &view))
+	assert.Equal(w.t, len(view.Unreachable), 0)
+	return view.Events
+}
+
+// Guards against a time line of two processes that falls apart: what the agent
+// did must lead back to what the callers of the entry did.
+func TestTimelineLeadsBackToTheCaller(t *testing.T) {
+	w := newWorld(t)
+	w.open()
+	w.addAgent("worker-1", "rack-1")
+	began := time.Now()
+	borrower := w.send(jobCall(stockToken, "b", job8))
+	w.settle("a running job", func() bool { return w.job(stockToken, borrower.ID).State == chestnutpond.JobRunning })
+	claim := w.send(jobCall(salesToken, "c", job8))
+	w.settle("a running claim", func() bool { return w.job(salesToken, claim.ID).State == chestnutpond.JobRunning })
+	w.send(call{method: "DELETE", path: "/v1/jobs/" + claim.ID, token: salesToken})
+	w.settle("a cancelled job", func() bool { return w.job(salesToken, claim.ID).State == chestnutpond.JobCancelled })
+
+	byID := make(map[chestnutpond.EventID]eventView)
+	list := w.timeline(url.Values{"limit": {"10000"}})
+	for _, e := range list {
+		byID[e.ID] = e
+	}
+	names := map[chestnutpond.JobID]string{
+		chestnutpond.JobID(borrower.ID): "borrower", chestnutpond.JobID(claim.ID): "claim",
+	}
+	stories := make(map[string]bool)
+	for _, e := range list {
+		if e.Job == "" {
+			continue
+		}
+		if e.Kind != chestnutpond.EventAccepted {
+			_, ok := byID[e.Cause]
+			assert.Assert(t, ok, "no cause of %+v", e)
+		}
+		story := ""
+		for step, ok := e, true; ok; step, ok = byID[step.Cause] {
+			story = fmt.Sprintf(" %s:%s:%s", step.Process, names[step.Job], step.Kind) + story
+		}
+		stories[story] = true
+	}
+	for _, want := range []string{
+		" entry-1:claim:accepted entry-1:borrower:reclaimed worker-1:borrower:checkpointed worker-1:borrower:stopped",
+		" entry-1:claim:accepted entry-1:claim:placed worker-1:claim:prepared",
+		" entry-1:claim:accepted entry-1:claim:placed entry-1:claim:prepared worker-1:claim:committed worker-1:claim:started",
+		" entry-1:claim:accepted entry-1:claim:placed entry-1:claim:prepared entry-1:claim:committed entry-1:claim:started" +
+			" entry-1:claim:cancelled worker-1:claim:stopped",
+	} {
+		assert.Assert(t, stories[want], "no story%s in %v", want, stories)
+	}
+	before := w.timeline(url.Values{"to": {began.UTC().Format(time.RFC3339Nano)}, "limit": {"2"}})
+	assert.Equal(t, len(before), 2, "the limit applies within the time")
+}
--- a/internal/node/sched/calls.go
+++ b/internal/node/sched/calls.go
@@ -88,7 +88,7 @@
 	reply, err := agent.Prepare(ctx, &inner.PrepareRequest{
 		Region: a.region.name, Term: a.region.term, Job: string(a.spec.ID), Attempt: a.number,
 		Member: int32(p.Member), Accelerators: indexes(p), HoldTtl: durationpb.New(holdTTL),
-		Incarnation: p.Incarnation,
+		Incarnation: p.Incarnation, Cause: a.cause(),
 	})
 	if err != nil {
 		return &place.Failure{Worker: p.Worker, Reason: err.Error()}
@@ -101,7 +101,7 @@
 
 // commit tells all members to join the gang's barrier.
 func (a *attempt) commit(ctx context.Context) *place.Failure {
-	gang := a.gang()
+	gang, cause := a.gang(), a.cause()
 	failure := a.each(ctx, commitTimeout, func(
 		ctx context.Context, agent inner.AgentClient, p chestnutpond.Placement,
 	) *place.Failure {
@@ -109,6 +109,7 @@
 			Region: a.region.name, Term: a.region.term, Job: string(a.spec.ID), Attempt: a.number,
 			Member: int32(p.Member), Gang: gang, Payload: a.spec.Payload, Checkpoint: a.checkpoint,
 			Kind: a.spec.Kind, MaxRuntime: durationpb.New(a.spec.MaxRuntime),
+			Cause: cause,
 		})
 		if err != nil {
 			return &place.Failure{Worker: p.Worker, Reason: err.Error()}
@@ -156,9 +157,13 @@
 	return &inner.StopRequest{
 		Region: a.region.name, Term: a.region.term, Job: string(a.spec.ID), Attempt: a.number,
 		Member: int32(p.Member), Checkpoint: durationpb.New(checkpoint), Reason: reason, Fence: fence,
+		Cause: a.cause(),
 	}
 }
 
+// cause returns the event that led to what the attempt does now.
+func (a *attempt) cause() string { return string(a.region.m.cfg.Events.Last(a.spec.ID)) }
+
 func indexes(p chestnutpond.Placement) []int32 {
 	list := make([]int32, 0, len(p.Accelerators))
 	for _, i := range p.Accelerators {
--- a/internal/node/sched/fake_test.go
+++ b/internal/node/sched/fake_test.go
@@ -61,6 +61,8 @@
 	// starts and ends count the runs of each task.
 	starts map[string]int
 	ends   map[string]int
+	// bad are the workers on which every task fails.
+	bad map[string]bool
 }
 
 type agent struct {
@@ -73,6 +75,9 @@
 type entry struct {
 	world   *world
 	name    string
+	ring    *events.Ring
+	trail   *events.Trail
+	metrics *stats.Registry
 	tail    *tail.Tail
 	manager *Manager
 	dead    bool
@@ -103,14 +108,14 @@
 	logger := slog.New(slog.NewTextHandler(io.Discard, nil))
 	ring := events.New(events.Config{Process: name})
 	origin := ledger.Origin{Process: name, Incarnation: 1}
-	e := &entry{world: w, name: name}
+	e := &entry{world: w, name: name, ring: ring, trail: events.NewTrail(ring), metrics: stats.New()}
 	e.tail = tail.New(tail.Config{
 		Log: w.log, Origin: origin, Events: ring, Logger: logger, Metrics: stats.New(),
-		OnChange: func(c ledger.Change) { e.manager.LogChanged(c) },
+		OnChange: e.logChanged,
 	})
 	e.manager = New(Config{
 		Origin: origin, Region: "pampa", Seed: 1, Tail: e.tail, Members: e, Dialer: e,
-		Events: ring, Logger: logger, Metrics: stats.New(),
+		Events: e.trail, Logger: logger, Metrics: e.metrics,
 	})
 	e.manager.SetDocument(document)
 	ctx, cancel := context.WithCancel(w.t.Context())
@@ -124,6 +129,14 @@
 	return e
 }
 
+// logChanged records accepted jobs as the process around the manager does.
+func (e *entry) logChanged(c ledger.Change) {
+	if c.Kind == ledger.ChangeAccepted {
+		e.trail.Add(chestnutpond.Event{Kind: chestnutpond.EventAccepted, Job: c.Job})
+	}
+	e.manager.LogChanged(c)
+}
+
 // kill ends an entry without a handover.
 func (e *entry) kill() {
 	e.world.mu.Lock()
@@ -305,7 +318,11 @@
 	})
 	if w.allCommitted(req) {
 		for _, m := range req.GetGang() {
-			w.move(m.GetAgent(), req.GetJob(), req.GetAttempt(), inner.TaskState_TASK_STATE_RUNNING)
+			state := inner.TaskState_TASK_STATE_RUNNING
+			if w.bad[m.GetAgent()] {
+				state = inner.TaskState_TASK_STATE_FAILED
+			}
+			w.move(m.GetAgent(), req.GetJob(), req.GetAttempt(), state)
 		}
 		time.AfterFunc(runTime, func() { w.complete(req) })
 	}
--- a/internal/node/sched/halt.go
+++ b/internal/node/sched/halt.go
@@ -223,6 +223,10 @@
 		err := g.region.m.cfg.Tail.Append(actx, body)
 		cancel()
 		if err == nil {
+			g.region.m.cfg.Events.Add(chestnutpond.Event{
+				Kind: chestnutpond.EventEnded, Job: g.job, Attempt: g.attempt,
+				Detail: string(chestnutpond.JobImpossible) + " " + g.reason,
+			})
 			return
 		}
 		pause(ctx)
--- a/internal/node/sched/manager.go
+++ b/internal/node/sched/manager.go
@@ -12,6 +12,7 @@
 	"github.com/chestnutpond/chestnutpond/internal/core/fleet"
 	"github.com/chestnutpond/chestnutpond/internal/core/ledger"
 	"github.com/chestnutpond/chestnutpond/internal/node/tail"
+	"github.com/chestnutpond/chestnutpond/internal/obs/events"
 	"github.com/chestnutpond/chestnutpond/internal/obs/stats"
 )
 
@@ -57,7 +58,8 @@
 	Tail    *tail.Tail
 	Members Members
 	Dialer  Dialer
-	Events  chestnutpond.EventSink
+	// Events also links the events of each job.
+	Events  *events.Trail
 	Logger  *slog.Logger
 	Metrics *stats.Registry
 }
@@ -273,7 +275,7 @@
 	}
 	r := newRegion(m, t, m.document)
 	m.regions[t.Region] = r
-	m.cfg.Events.Add(chestnutpond.Event{Kind: chestnutpond.EventTerm, Detail: t.Region})
+	r.claimed = m.cfg.Events.Add(chestnutpond.Event{Kind: chestnutpond.EventTerm, Detail: t.Region})
 	m.cfg.Logger.Info("sched: scheduling region", "region", t.Region, "term", t.Number)
 	go r.run(ctx)
 }
--- /dev/null
+++ b/internal/node/sched/notes.go
@@ -0,0 +1,90 @@
+package sched
+
+import (
+	"time"
+
+	"github.com/chestnutpond/chestnutpond"
+	"github.com/chestnutpond/chestnutpond/internal/core/ledger"
+	"github.com/chestnutpond/chestnutpond/internal/core/place"
+)
+
+const (
+	// waitingEvery is how often the reasons of waiting jobs are compared.
+	waitingEvery = time.Second
+	// waitingNotes bounds the events of one comparison; the rest follows with
+	// the next ones, so that a long queue does not push all other events out.
+	waitingNotes = 64
+)
+
+// notes remembers what was recorded, so that only changes are.
+type notes struct {
+	// next is when the reasons of waiting jobs are compared again.
+	next time.Duration
+	// waiting holds the recorded reason of each waiting job.
+	waiting map[chestnutpond.JobID]string
+	// ejected holds the workers that get no work for a time.
+	ejected map[string]bool
+}
+
+func newNotes() *notes {
+	return &notes{waiting: make(map[chestnutpond.JobID]string), ejected: make(map[string]bool)}
+}
+
+// noteWaiting records the jobs whose reason to wait has changed. The caller
+// holds mu.
+func (r *region) noteWaiting() {
+	now := r.m.now()
+	if now < r.notes.next {
+		return
+	}
+	r.notes.next = now + waitingEvery
+	waiting := make(map[chestnutpond.JobID]string)
+	left := waitingNotes
+	for _, j := range r.queued() {
+		reason, ok := r.core.Waiting(j.Spec.ID)
+		if !ok {
+			continue
+		}
+		old, known := r.notes.waiting[j.Spec.ID]
+		if reason != old && left > 0 {
+			left--
+			r.m.cfg.Events.Add(chestnutpond.Event{
+				Kind: chestnutpond.EventWaiting, Job: j.Spec.ID, Attempt: j.Attempt, Account: j.Spec.Account,
+				Detail: reason,
+			})
+			old, known = reason, true
+		}
+		if known {
+			waiting[j.Spec.ID] = old
+		}
+	}
+	r.notes.waiting = waiting
+}
+
+// queued returns the region's jobs that wait according to the log.
+func (r *region) queued() (jobs []ledger.Job) {
+	r.m.cfg.Tail.View(func(st *ledger.State) {
+		jobs = st.Jobs(func(j ledger.Job) bool {
+			return j.Spec.Region == r.name && j.State == chestnutpond.JobQueued
+		})
+	})
+	return jobs
+}
+
+// noteEjected records the workers that were ejected because an attempt failed.
+// The caller holds mu.
+func (r *region) noteEjected(a *attempt, failure place.Failure) {
+	ejected := make(map[string]bool)
+	for _, name := range r.core.Ejected() {
+		ejected[name] = true
+		if r.notes.ejected[name] {
+			continue
+		}
+		r.m.cfg.Events.Add(chestnutpond.Event{
+			Kind: chestnutpond.EventEjected, Upstream: name, Detail: failure.Reason,
+			Cause: r.m.cfg.Events.Last(a.spec.ID),
+		})
+		r.m.cfg.Logger.Warn("sched: worker ejected", "worker", name, "reason", failure.Reason)
+	}
+	r.notes.ejected = ejected
+}
--- a/internal/node/sched/region.go
+++ b/internal/node/sched/region.go
@@ -29,6 +29,9 @@
 	// ended is closed when run returned.
 	ended chan struct{}
 	kick  chan struct{}
+	// claimed is the event of the term; it led to what becomes of the attempts
+	// that another entry started.
+	claimed chestnutpond.EventID
 
 	// mu guards the fields below. The tail's and the members' locks may be
 	// taken under it.
@@ -38,6 +41,7 @@
 	attempts map[chestnutpond.JobID]*attempt
 	// strays are tasks that were told to stop, with the time of the last call.
 	strays  map[chestnutpond.TaskID]time.Duration
+	notes   *notes
 	running sync.WaitGroup
 }
 
@@ -49,6 +53,7 @@
 		core:     place.New(place.Config{Region: t.Region, Seed: m.cfg.Seed}),
 		attempts: make(map[chestnutpond.JobID]*attempt),
 		strays:   make(map[chestnutpond.TaskID]time.Duration),
+		notes:    newNotes(),
 	}
 	r.load(doc)
 	return r
@@ -151,6 +156,7 @@
 	for _, action := range r.core.Decide(r.m.now()) {
 		r.carryOut(action)
 	}
+	r.noteWaiting()
 }
 
 func (r *region) carryOut(action place.Action) {
@@ -190,15 +196,22 @@
 	if !ok {
 		return
 	}
+	// The event comes first, because the attempt names it as the cause of its
+	// stop as soon as it is woken.
+	r.m.cfg.Events.Add(chestnutpond.Event{
+		Kind: chestnutpond.EventReclaimed, Job: a.spec.ID, Attempt: a.number, Account: a.spec.Account,
+		Detail: action.Reason + " for " + string(action.For), Cause: r.m.cfg.Events.Last(action.For),
+	})
 	a.preempted = action.Reason
 	a.notice()
-	r.event(chestnutpond.EventReclaimed, a, action.Reason+" for "+string(action.For))
 }
 
 func (r *region) event(kind chestnutpond.EventKind, a *attempt, detail string) {
-	r.m.cfg.Events.Add(chestnutpond.Event{
-		Kind: kind, Job: a.spec.ID, Attempt: a.number, Account: a.spec.Account, Detail: detail,
-	})
+	e := chestnutpond.Event{Kind: kind, Job: a.spec.ID, Attempt: a.number, Account: a.spec.Account, Detail: detail}
+	if a.adopted && r.m.cfg.Events.Last(a.spec.ID) == "" {
+		e.Cause = r.claimed
+	}
+	r.m.cfg.Events.Add(e)
 }
 
 func (r *region) setDocument(doc chestnutpond.Document) {
@@ -284,6 +297,7 @@
 	case endFinal:
 		r.core.Remove(now, id)
 	}
+	r.noteEjected(a, end.failure)
 	r.mu.Unlock()
 	r.wake()
 }
--- a/internal/node/sched/status.go
+++ b/internal/node/sched/status.go
@@ -6,7 +6,6 @@
 	"google.golang.org/protobuf/types/known/durationpb"
 
 	"github.com/chestnutpond/chestnutpond"
-	"github.com/chestnutpond/chestnutpond/internal/core/ledger"
 	"github.com/chestnutpond/chestnutpond/internal/wire/inner"
 )
 
@@ -16,12 +15,7 @@
 	if r == nil {
 		return &inner.RegionStatusReply{}
 	}
-	var queued []ledger.Job
-	m.cfg.Tail.View(func(st *ledger.State) {
-		queued = st.Jobs(func(j ledger.Job) bool {
-			return j.Spec.Region == name && j.State == chestnutpond.JobQueued
-		})
-	})
+	queued := r.queued()
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	reply := &inner.RegionStatusReply{Scheduling: true, Term: r.term, Reasons: make(map[string]string)}
--- a/internal/obs/events/convert.go
+++ b/internal/obs/events/convert.go
@@ -15,6 +15,8 @@
 		Job:      chestnutpond.JobID(q.GetJob()),
 		Request:  q.GetRequest(),
 		Upstream: q.GetUpstream(),
+		From:     timeOf(q.GetFromUnixNano()),
+		To:       timeOf(q.GetToUnixNano()),
 	}
 	selected, next, dropped := r.Newest(filter, int(q.GetLimit()))
 	if q.GetSince() > 0 {
@@ -27,6 +29,14 @@
 	return reply
 }
 
+// timeOf returns the time of a bound; zero stays the zero time.
+func timeOf(unixNano int64) time.Time {
+	if unixNano == 0 {
+		return time.Time{}
+	}
+	return time.Unix(0, unixNano).UTC()
+}
+
 // ToInner converts an event to its form in the inner protocol. The id is not
 // sent; it follows from process, incarnation and sequence.
 func ToInner(e chestnutpond.Event) *inner.Event {
--- a/internal/tool/client/timeline.go
+++ b/internal/tool/client/timeline.go
@@ -25,8 +25,8 @@
 
 	// defaultEvents bounds the events that are shown.
 	defaultEvents = 1000
-	// maxEvents is the greatest limit that an entry takes. It is asked for when a
-	// time is given, because each process applies the limit before the time.
+	// maxEvents is the greatest limit that an entry takes. It is the default when
+	// a time is given, so that the whole of a short span is shown.
 	maxEvents = 10_000
 )
 
