Measure usual service over half an hour and let it overdraw

Cause: flooding callers became usual within minutes, and a small caller's long request counted as surplus because its allowance never held that much. Of 3,900 flood requests that one account's queue took, 1,850 counted as usual. Ruled out: a larger burst alone; it moved small callers' loss to large ones. Change: usual service is averaged over 30 min, surplus counts 5 % of it, a new caller's floor is a tenth of an even share and grows with time, and the last usual request may overdraw the allowance. The bound by kind now covers both lanes of a kind. Rows get ten minutes of ordinary work before them, for every policy, because an entry that is two minutes old knows nobody.

--- a/internal/core/admit/bound.go
+++ b/internal/core/admit/bound.go
@@ -21,8 +21,8 @@
 		}
 		victims = append(victims, f)
 	}
-	if l.n >= q.cfg.KindLimit && (len(victims) == 0 || victims[0].share.lane != l) {
-		f := l.longest.top()
+	if l.work.n >= q.cfg.KindLimit && (len(victims) == 0 || victims[0].share.lane.work != l.work) {
+		f := l.work.longest.top()
 		if !over(f, l, c) {
 			return nil, false
 		}
@@ -74,16 +74,17 @@
 	}
 	s.n++
 	l.n++
+	l.work.n++
 	a.n++
 	q.n++
 	c.waiting++
 	if f.n == 1 {
 		s.flows.push(f)
-		l.longest.push(f)
+		l.work.longest.push(f)
 		a.longest.push(f)
 	} else {
 		s.flows.fix(f)
-		l.longest.fix(f)
+		l.work.longest.fix(f)
 		a.longest.fix(f)
 	}
 	if s.n == 1 {
@@ -113,16 +114,17 @@
 	f.unlink(w)
 	s.n--
 	l.n--
+	l.work.n--
 	a.n--
 	q.n--
 	c.waiting--
 	if f.n == 0 {
 		s.flows.remove(f)
-		l.longest.remove(f)
+		l.work.longest.remove(f)
 		a.longest.remove(f)
 	} else {
 		s.flows.fix(f)
-		l.longest.fix(f)
+		l.work.longest.fix(f)
 		a.longest.fix(f)
 	}
 	if s.n == 0 {
@@ -169,7 +171,7 @@
 }
 
 func (q *Queue) addCaller(a *account, now time.Duration, name string) *caller {
-	c := &caller{name: name, account: a, tokens: 2 * q.mean, tokensAt: now}
+	c := &caller{name: name, account: a, since: now, tokens: q.mean, tokensAt: now}
 	a.callers[name] = c
 	q.known++
 	return c
@@ -223,22 +225,20 @@
 	if class.Rank() > chestnutpond.ClassBulk.Rank() {
 		class = chestnutpond.ClassBulk
 	}
-	var twin *lane
+	var w *work
 	for _, l := range q.lanes {
-		if l.kind != kind || l.class != class {
+		if l.work.kind != kind || l.work.class != class {
 			continue
 		}
 		if l.surplus == surplus {
 			return l
 		}
-		twin = l
+		w = l.work
 	}
-	l := newLane(kind, class)
-	if twin != nil {
-		l.cost = twin.cost
-	} else {
-		l.cost = &cost{mean: q.mean}
+	if w == nil {
+		w = newWork(kind, class, q.mean)
 	}
+	l := newLane(w, surplus)
 	switch class {
 	case chestnutpond.ClassUrgent:
 		l.lead = q.cfg.UrgentLead
@@ -247,7 +247,7 @@
 	}
 	l.inner = l.lead
 	if surplus {
-		l.surplus, l.lead = true, 0
+		l.lead = 0
 		l.inner -= q.cfg.SurplusLag
 	}
 	q.lanes = append(q.lanes, l)
@@ -279,7 +279,7 @@
 	if f := c.find(s); f != nil {
 		return f
 	}
-	f := &flow{share: s, caller: c, seq: seq, flowAt: -1, laneLongAt: -1, accountLongAt: -1}
+	f := &flow{share: s, caller: c, seq: seq, flowAt: -1, workLongAt: -1, accountLongAt: -1}
 	c.flows = append(c.flows, f)
 	return f
 }
--- a/internal/core/admit/config.go
+++ b/internal/core/admit/config.go
@@ -26,7 +26,7 @@
 	// SurplusLag is how far, in requests of average length, the surplus of an
 	// account stands back behind what its callers usually send; 64 by default.
 	SurplusLag float64
-	// UsualTime is the time over which a caller's usual service is averaged; 10
+	// UsualTime is the time over which a caller's usual service is averaged; 30
 	// min by default.
 	UsualTime time.Duration
 	// Patience is the part of the time to its deadline that a request may be
@@ -74,7 +74,7 @@
 	c.UrgentLead = orFloat(c.UrgentLead, 8)
 	c.StandardLead = orFloat(c.StandardLead, 3)
 	c.SurplusLag = orFloat(c.SurplusLag, 64)
-	c.UsualTime = orTime(c.UsualTime, 10*time.Minute)
+	c.UsualTime = orTime(c.UsualTime, 30*time.Minute)
 	c.Patience = orFloat(c.Patience, 0.5)
 	c.Credit = orFloat(c.Credit, 8)
 	c.ServiceGuess = orTime(c.ServiceGuess, 500*time.Millisecond)
--- a/internal/core/admit/group.go
+++ b/internal/core/admit/group.go
@@ -25,27 +25,27 @@
 	deadlineAt int
 }
 
-// cost is what is known of the service time of a kind.
-type cost struct {
+// work is one kind in one class.
+type work struct {
+	kind  string
+	class chestnutpond.Class
 	// mean is the moving average of the service time in seconds.
 	mean float64
+	n    int
+	// longest has the flow with the most requests on top.
+	longest heap[*flow]
 }
 
-// lane is one kind in one class, either what callers usually send or what goes
-// beyond it.
+// lane is the part of a work that callers usually send, or the surplus.
 type lane struct {
-	kind    string
-	class   chestnutpond.Class
+	work    *work
 	surplus bool
-	cost    *cost
 	// lead is how far ahead of its share an account may be served, in requests;
 	// inner is the same for the lane among those of an account.
 	lead, inner float64
 	n           int
 	// shares holds the accounts with requests waiting in this lane.
 	shares heap[*share]
-	// longest has the flow with the most requests on top.
-	longest heap[*flow]
 	// servable is set by Next for the length of one call.
 	servable bool
 }
@@ -73,7 +73,7 @@
 	seq         uint64
 	first, last *waiter
 
-	flowAt, laneLongAt, accountLongAt int
+	flowAt, workLongAt, accountLongAt int
 }
 
 // caller is one caller of an account, over all lanes.
@@ -84,7 +84,9 @@
 	flows   []*flow
 	// waiting and running count the caller's requests.
 	waiting, running int
-	used             usage
+	// since is when the caller was first seen.
+	since time.Duration
+	used  usage
 	// tokens is the service in seconds, as of tokensAt, that may come before the
 	// caller's requests count as surplus.
 	tokens   float64
@@ -150,8 +152,14 @@
 	f.n--
 }
 
-func newLane(kind string, class chestnutpond.Class) *lane {
-	l := &lane{kind: kind, class: class}
+func newWork(kind string, class chestnutpond.Class, mean float64) *work {
+	w := &work{kind: kind, class: class, mean: mean}
+	w.longest = heap[*flow]{less: longer, at: func(f *flow) *int { return &f.workLongAt }}
+	return w
+}
+
+func newLane(w *work, surplus bool) *lane {
+	l := &lane{work: w, surplus: surplus}
 	l.shares = heap[*share]{
 		less: func(a, b *share) bool {
 			if a.account.tag != b.account.tag {
@@ -161,7 +169,6 @@
 		},
 		at: func(s *share) *int { return &s.shareAt },
 	}
-	l.longest = heap[*flow]{less: longer, at: func(f *flow) *int { return &f.laneLongAt }}
 	return l
 }
 
--- a/internal/core/admit/queue.go
+++ b/internal/core/admit/queue.go
@@ -119,7 +119,7 @@
 // offer admits or refuses a request of a known caller.
 func (q *Queue) offer(now time.Duration, a *account, c *caller, it Item) Verdict {
 	l := q.lane(it.Kind, it.Class, false)
-	if !q.takesUsual(now, c, l.cost.mean) {
+	if !q.takesUsual(now, c, l.work.mean) {
 		l = q.lane(it.Kind, it.Class, true)
 	}
 	s := a.share(l)
@@ -137,7 +137,7 @@
 	}
 	if reason != "" {
 		if !l.surplus {
-			c.tokens += l.cost.mean
+			c.tokens += l.work.mean
 		}
 		return q.refuse(reason, wait)
 	}
@@ -227,7 +227,7 @@
 	for _, k := range doc.Kinds {
 		q.kinds[k.Name] = true
 	}
-	unused := func(l *lane) bool { return !q.kinds[l.kind] && l.n == 0 }
+	unused := func(l *lane) bool { return !q.kinds[l.work.kind] && l.work.n == 0 }
 	q.lanes = slices.DeleteFunc(q.lanes, unused)
 	for name, a := range q.accounts {
 		a.shares = slices.DeleteFunc(a.shares, func(s *share) bool { return unused(s.lane) })
--- a/internal/core/admit/serve.go
+++ b/internal/core/admit/serve.go
@@ -25,7 +25,7 @@
 	w.running = true
 	w.flow.caller.running++
 	q.departed(now, s)
-	w.charged = s.lane.cost.mean
+	w.charged = s.lane.work.mean
 	a, c := s.account, w.flow.caller
 	q.tag = max(q.tag, a.tag)
 	a.laneTag = max(a.laneTag, s.tag)
@@ -39,12 +39,12 @@
 	var best *account
 	var bestKey float64
 	for _, l := range q.lanes {
-		l.servable = l.n > 0 && canServe(l.kind)
+		l.servable = l.n > 0 && canServe(l.work.kind)
 		if !l.servable {
 			continue
 		}
 		a := l.shares.top().account
-		key := a.tag - l.lead*q.mean + l.cost.mean/a.weight
+		key := a.tag - l.lead*q.mean + l.work.mean/a.weight
 		if best == nil || key < bestKey {
 			best, bestKey = a, key
 		}
@@ -60,7 +60,7 @@
 		if s.n == 0 || !s.lane.servable {
 			continue
 		}
-		key := s.tag - s.lane.inner*q.mean + s.lane.cost.mean
+		key := s.tag - s.lane.inner*q.mean + s.lane.work.mean
 		if best == nil || key < bestKey {
 			best, bestKey = s, key
 		}
@@ -78,7 +78,7 @@
 	s := max(served.Seconds(), 0)
 	q.charge(now, w, s-w.charged)
 	if s > 0 {
-		k := w.flow.share.lane.cost
+		k := w.flow.share.lane.work
 		k.mean += meanStep * (s - k.mean)
 		q.mean += meanStep * (s - q.mean)
 	}
@@ -164,7 +164,7 @@
 	if it.Deadline <= 0 {
 		return -1
 	}
-	margin := time.Duration(l.cost.mean / 2 * float64(time.Second))
+	margin := time.Duration(l.work.mean / 2 * float64(time.Second))
 	return it.Deadline - min(margin, max(it.Deadline-now, 0)/4)
 }
 
--- a/internal/core/admit/usual.go
+++ b/internal/core/admit/usual.go
@@ -10,13 +10,14 @@
 	// requests count as surplus.
 	usualSlack = 1.5
 	// floorShare is the part of an even share of its account's usual service that
-	// every caller has, also a new one.
-	floorShare = 0.25
+	// a new caller has. It grows to the even share over Config.UsualTime, so that
+	// the noise in a small caller's past does not make its requests surplus.
+	floorShare = 0.1
 	// burst is the time over which a caller may use its allowance at once.
-	burst = 30 * time.Second
+	burst = 2 * time.Minute
 	// surplusWeight is how much of the service of surplus requests counts towards
 	// the usual service. A flood of ten minutes must not become the usual.
-	surplusWeight = 0.1
+	surplusWeight = 0.05
 	// learnMin is the shortest time over which usual service is averaged.
 	learnMin = time.Minute
 )
@@ -45,20 +46,22 @@
 // allowance returns the service per second that is not surplus for the caller.
 func (q *Queue) allowance(now time.Duration, c *caller) float64 {
 	even := q.usual(now, &c.account.used) / float64(max(len(c.account.callers), 1))
-	return usualSlack*q.usual(now, &c.used) + floorShare*even
+	known := float64(now-c.since) / float64(q.cfg.UsualTime)
+	return usualSlack*q.usual(now, &c.used) + min(floorShare+known, 1)*even
 }
 
 // takesUsual reports whether a request of that length is within what its caller
-// usually gets, and takes it from the allowance. While nothing waits, everything
-// is.
+// usually gets, and takes it from the allowance. The last one may overdraw it, so
+// that a small caller's long request is not surplus. While nothing waits, nothing
+// is surplus.
 func (q *Queue) takesUsual(now time.Duration, c *caller, service float64) bool {
 	allow := q.allowance(now, c)
-	c.tokens = min(c.tokens+allow*(now-c.tokensAt).Seconds(), allow*burst.Seconds()+2*q.mean)
+	c.tokens = min(c.tokens+allow*(now-c.tokensAt).Seconds(), allow*burst.Seconds()+q.mean)
 	c.tokensAt = now
-	if c.tokens < service && q.n > 0 {
-		return false
+	if c.tokens <= 0 {
+		return q.n == 0
 	}
-	c.tokens = max(c.tokens-service, 0)
+	c.tokens -= service
 	return true
 }
 
--- a/internal/test/load/figures.go
+++ b/internal/test/load/figures.go
@@ -46,8 +46,8 @@
 	}
 }
 
-func (f *figures) add(q *request, took time.Duration) {
-	if q.group == extra {
+func (f *figures) add(w *world, q *request, took time.Duration) {
+	if q.group == extra || q.arrived < w.begin {
 		return
 	}
 	s, least := took.Seconds(), (q.service + 2*zoneLatency + 2*clientLatency).Seconds()
@@ -68,17 +68,22 @@
 }
 
 func (f *figures) answered(w *world, q *request) {
-	f.add(q, w.now-q.arrived+2*clientLatency)
-	if q.group != extra {
+	f.add(w, q, w.now-q.arrived+2*clientLatency)
+	if q.group != extra && q.arrived >= w.begin {
 		f.answeredN++
 		f.work += q.service.Seconds()
 	}
 }
 
-func (f *figures) unanswered(_ *world, q *request) { f.add(q, q.kind.Timeout) }
+func (f *figures) unanswered(w *world, q *request) {
+	f.add(w, q, q.kind.Timeout)
+}
 
 // refused counts a request that is told that it did not run.
 func (f *figures) refused(w *world, q *request) {
+	if q.arrived < w.begin {
+		return
+	}
 	_ = f.refusal.RecordValue(int64((w.now - q.arrived + 2*clientLatency) / time.Microsecond))
 	f.unanswered(w, q)
 }
@@ -206,6 +211,6 @@
 	r[colRefusedSends] = percent(float64(f.refusals), float64(f.sends))
 	r[colBad] = percent(float64(f.badStart), float64(f.starts))
 	r[colFar] = (w.ways[0].bytes + w.ways[1].bytes) / 1e6
-	r[colUse] = percent(f.busy, float64(len(w.upstreams)*slots)*w.end.Seconds())
+	r[colUse] = percent(f.busy, float64(len(w.upstreams)*slots)*(w.end-w.begin).Seconds())
 	return r
 }
--- a/internal/test/load/rows.go
+++ b/internal/test/load/rows.go
@@ -11,6 +11,8 @@
 	// rowLength is the length of a row; a flood or a fault lasts from floodFrom
 	// to floodTo of it, ten minutes.
 	rowLength = 15 * time.Minute
+	// warmUp is ordinary work before the row, so that the entries are not new.
+	warmUp    = 10 * time.Minute
 	floodFrom = 1.0 / 6
 	floodTo   = 5.0 / 6
 	// An ordinary day runs from dayLow of the capacity to dayLow + dayRise at its
@@ -48,7 +50,7 @@
 }
 
 func (w *world) dayLevel(now time.Duration) float64 {
-	s := math.Sin(math.Pi * now.Seconds() / w.end.Seconds())
+	s := math.Sin(math.Pi * max(now-w.begin, 0).Seconds() / (w.end - w.begin).Seconds())
 	level := dayLow + dayRise*s*s
 	if now%burstEvery < burstLength {
 		level *= burstFactor
--- a/internal/test/load/world.go
+++ b/internal/test/load/world.go
@@ -64,19 +64,21 @@
 	extraWay  time.Duration
 	cut       bool
 	fails     func(k *kind) bool
-	end       time.Duration
-	reportAge time.Duration
-	blind     bool
-	badSince  time.Duration
-	fig       *figures
-	next      int
+	// begin ends the warm-up, in which nothing is measured.
+	begin, end time.Duration
+	reportAge  time.Duration
+	blind      bool
+	badSince   time.Duration
+	fig        *figures
+	next       int
 }
 
 func newWorld(dep *deployment, r *row, build func(e *entry, dep *deployment, seed uint64) policy, seed uint64, scale float64) *world {
 	w := &world{
 		dep: dep, row: r, rand: rand.New(rand.NewPCG(seed, 1)), rate: linkRate,
-		end: time.Duration(float64(rowLength) * scale), reportAge: reportAge, fig: newFigures(dep),
+		begin: time.Duration(float64(warmUp) * scale), reportAge: reportAge, fig: newFigures(dep),
 	}
+	w.end = w.begin + time.Duration(float64(rowLength)*scale)
 	zones := [][2]string{{dep.regions[0], "z1"}, {dep.regions[0], "z2"}, {dep.regions[1], "z3"}}
 	for i, z := range zones {
 		e := &entry{region: z[0], zone: z[1], waiting: map[string]*request{}}
@@ -109,7 +111,7 @@
 func (w *world) capacity(mean float64) float64 { return float64(len(w.upstreams)*slots) / mean }
 
 func (w *world) start(seed uint64) {
-	at := func(share float64) time.Duration { return time.Duration(share * float64(w.end)) }
+	at := func(share float64) time.Duration { return w.begin + time.Duration(share*float64(w.end-w.begin)) }
 	day := dayPeak
 	if w.row.factor > 0 {
 		day *= w.row.factor
@@ -122,6 +124,7 @@
 		s.rand = rand.New(rand.NewPCG(seed, uint64(100+i)))
 		w.after(s.from, func() { w.arrive(s) })
 	}
+	w.after(w.begin, func() { w.ways = [2]direction{} })
 	if w.row.faults != nil {
 		w.row.faults(w, at)
 	}
@@ -241,9 +244,13 @@
 
 // serve takes a slot of the upstream or refuses.
 func (w *world) serve(q *request, u *upstream, sent time.Duration) {
-	w.fig.sends++
+	if w.now >= w.begin {
+		w.fig.sends++
+	}
 	if u.busy >= u.Slots {
-		w.fig.refusals++
+		if w.now >= w.begin {
+			w.fig.refusals++
+		}
 		w.reply(q, u, route.ResultRefused, sent, 0)
 		return
 	}
@@ -258,7 +265,9 @@
 	}
 	w.after(took, func() {
 		u.busy--
-		w.fig.busy += took.Seconds()
+		if w.now >= w.begin {
+			w.fig.busy += min(took, w.now-w.begin).Seconds()
+		}
 		w.reply(q, u, res, sent, took)
 	})
 }
