Estimate the wait of a request by time

Cause: 1 % of the refusals of a flood came after 23 s. The estimated wait used an average over departures, which come in clusters between the bursts of usual work, and none at all before the first departure. Ruled out: only a guess for the first departure; p99 of refusals stayed at 23 s. Change: departures are divided by the time in which the share waited, also time that ended by expiry, with a guess worth one departure. The longest refusal is still 24 s: some admitted requests reach their deadline in the queue.

--- a/internal/core/admit/group.go
+++ b/internal/core/admit/group.go
@@ -58,10 +58,11 @@
 	n       int
 	flows   heap[*flow]
 	shareAt int
-	// busySince is the start of the present gap between two departures, and gap
-	// the moving average of such gaps in seconds; zero means not measured.
-	busySince time.Duration
-	gap       float64
+	// busySince is the last departure, or when the share began to wait. Waited
+	// and departures are sums over the time before that in which requests waited,
+	// in seconds; both fade with that time.
+	busySince          time.Duration
+	waited, departures float64
 }
 
 // flow is what one caller has in one share, in order of arrival.
--- a/internal/core/admit/queue.go
+++ b/internal/core/admit/queue.go
@@ -194,6 +194,7 @@
 func (q *Queue) expire(now time.Duration) {
 	for q.deadline.len() > 0 && q.deadline.top().giveUp <= now {
 		w := q.deadline.top()
+		w.flow.share.elapse(now)
 		q.detach(w)
 		w.expired = true
 		q.expired = append(q.expired, w)
--- a/internal/core/admit/serve.go
+++ b/internal/core/admit/serve.go
@@ -1,6 +1,7 @@
 package admit
 
 import (
+	"math"
 	"time"
 
 	"github.com/chestnutpond/chestnutpond"
@@ -9,6 +10,13 @@
 // meanStep is the weight of the newest sample in the moving averages.
 const meanStep = 0.05
 
+// guessedSlots is the number of slots that a lane of an account is assumed to
+// have before its first departure; surplus is assumed to have one.
+const guessedSlots = 4
+
+// waitMemory is the waiting time over which the departures of a share are averaged.
+const waitMemory = time.Minute
+
 // Next removes the request that is to be served now and counts it as running
 // until Done. It returns false if nothing that waits can be served. A kind for
 // which canServe is false never holds back another kind.
@@ -24,7 +32,8 @@
 	q.detach(w)
 	w.running = true
 	w.flow.caller.running++
-	q.departed(now, s)
+	s.elapse(now)
+	s.departures++
 	w.charged = s.lane.work.mean
 	a, c := s.account, w.flow.caller
 	q.tag = max(q.tag, a.tag)
@@ -133,27 +142,32 @@
 
 // wait estimates how long a new request of the caller would wait.
 func (q *Queue) wait(now time.Duration, s *share, c *caller) time.Duration {
-	if s.n == 0 || s.gap == 0 {
+	if s.n == 0 {
 		return 0
 	}
+	// The estimate starts from one departure at a guessed gap.
+	guess := s.lane.work.mean
+	if !s.lane.surplus {
+		guess /= guessedSlots
+	}
+	gap := (guess + s.waited + (now - s.busySince).Seconds()) / (1 + s.departures)
 	own := 0
 	if f := c.find(s); f != nil {
 		own = f.n
 	}
 	ahead := min(s.n, (own+1)*s.flows.len())
-	gap := max(s.gap, (now-s.busySince).Seconds()/2)
 	return time.Duration(float64(ahead) * gap * float64(time.Second))
 }
 
-// departed measures the gap between two departures of a share.
-func (q *Queue) departed(now time.Duration, s *share) {
-	gap := (now - s.busySince).Seconds()
+// elapse counts the time since the last departure, or since the share began to
+// wait. It is weighted by time: departures come in clusters between the bursts of
+// others, so an average over departures is far too short.
+func (s *share) elapse(now time.Duration) {
+	d := (now - s.busySince).Seconds()
 	s.busySince = now
-	if s.gap == 0 {
-		s.gap = gap
-		return
-	}
-	s.gap += 2 * meanStep * (gap - s.gap)
+	keep := math.Exp(-d / waitMemory.Seconds())
+	s.waited = s.waited*keep + d
+	s.departures *= keep
 }
 
 // giveUp returns when a request can no longer be answered in time: half of the
