Let the surplus of an account stand back behind others' usual work

Change: the surplus of an account stands back by up to 32 requests, in proportion to its usual service against half of its weighted share. A test drives new accounts, new callers and less urgent work against usual work that never ends.

--- a/internal/core/admit/config.go
+++ b/internal/core/admit/config.go
@@ -26,6 +26,9 @@
 	// SurplusLag is how far, in requests of average length, the surplus of an
 	// account stands back behind what its callers usually send; 64 by default.
 	SurplusLag float64
+	// AccountLag is how far, in requests of average length, the surplus of an
+	// account stands back behind the usual requests of others; 32 by default.
+	AccountLag float64
 	// UsualTime is the time over which a caller's usual service is averaged; 30
 	// min by default.
 	UsualTime time.Duration
@@ -74,6 +77,7 @@
 	c.UrgentLead = orFloat(c.UrgentLead, 8)
 	c.StandardLead = orFloat(c.StandardLead, 3)
 	c.SurplusLag = orFloat(c.SurplusLag, 64)
+	c.AccountLag = orFloat(c.AccountLag, 32)
 	c.UsualTime = orTime(c.UsualTime, 30*time.Minute)
 	c.Patience = orFloat(c.Patience, 0.5)
 	c.Credit = orFloat(c.Credit, 8)
--- a/internal/core/admit/group.go
+++ b/internal/core/admit/group.go
@@ -104,6 +104,9 @@
 	weight float64
 	limit  int
 	tag    float64
+	// lag is how far the account's surplus stands back behind the usual requests
+	// of other accounts, in seconds of service.
+	lag float64
 	// laneTag and callerTag are the virtual times of the account's lanes and
 	// callers: the greatest tag that was served.
 	laneTag, callerTag float64
@@ -163,8 +166,8 @@
 	l := &lane{work: w, surplus: surplus}
 	l.shares = heap[*share]{
 		less: func(a, b *share) bool {
-			if a.account.tag != b.account.tag {
-				return a.account.tag < b.account.tag
+			if x, y := a.turn(), b.turn(); x != y {
+				return x < y
 			}
 			return a.account.seq < b.account.seq
 		},
@@ -173,6 +176,14 @@
 	return l
 }
 
+// turn orders the accounts of a lane: by tag, and surplus stands back.
+func (s *share) turn() float64 {
+	if s.lane.surplus {
+		return s.account.tag + s.account.lag
+	}
+	return s.account.tag
+}
+
 func newAccount(name string, seq uint64) *account {
 	a := &account{name: name, callers: map[string]*caller{}, bigAt: -1, seq: seq}
 	a.longest = heap[*flow]{less: longer, at: func(f *flow) *int { return &f.accountLongAt }}
--- a/internal/core/admit/prop_test.go
+++ b/internal/core/admit/prop_test.go
@@ -176,6 +176,48 @@
 	})
 }
 
+// Guards against usual work that keeps a new account, or less urgent work, from
+// ever being served. One slot serves a request a second; the account a has used
+// all of it for ten minutes when the other work arrives and keeps coming.
+func TestNewWorkGetsServed(t *testing.T) {
+	for name, c := range map[string]struct {
+		it Item
+		// least is the smallest part of the service in the next ten minutes.
+		least float64
+	}{
+		"new account":              {Item{Account: "b", Caller: "n", Kind: "y", Class: chestnutpond.ClassUrgent}, 0.2},
+		"new account, bulk":        {Item{Account: "b", Caller: "n", Kind: "y", Class: chestnutpond.ClassBulk}, 0.2},
+		"new caller":               {Item{Account: "a", Caller: "n", Kind: "x", Class: chestnutpond.ClassUrgent}, 0.01},
+		"new caller, bulk":         {Item{Account: "a", Caller: "n", Kind: "y", Class: chestnutpond.ClassBulk}, 0.01},
+		"same caller, less urgent": {Item{Account: "a", Caller: "0", Kind: "z", Class: chestnutpond.ClassBulk}, 0.2},
+	} {
+		t.Run(name, func(t *testing.T) {
+			q := newTestQueue(Config{})
+			next, served := 0, 0
+			offer := func(now time.Duration, it Item) {
+				next++
+				it.ID = fmt.Sprint(next)
+				q.Offer(now, it)
+			}
+			for i := range 1200 {
+				now := time.Duration(i) * time.Second
+				offer(now, Item{Account: "a", Caller: fmt.Sprint(i % 4), Kind: "x", Class: chestnutpond.ClassUrgent})
+				offer(now, Item{Account: "a", Caller: fmt.Sprint(i % 4), Kind: "x", Class: chestnutpond.ClassUrgent})
+				if i >= 600 {
+					offer(now, c.it)
+				}
+				it, ok := q.Next(now, anyKind)
+				assert.Assert(t, ok)
+				q.Done(now, it.ID, time.Second)
+				if it.Account == c.it.Account && it.Caller == c.it.Caller && it.Kind == c.it.Kind && it.Class == c.it.Class && i >= 600 {
+					served++
+				}
+			}
+			assert.Assert(t, float64(served) >= 600*c.least, "%d of 600", served)
+		})
+	}
+}
+
 // A full queue must take from the longest queue, never from a small caller.
 func TestOfferWhenFull(t *testing.T) {
 	item := func(id, account, caller, kind string) Item {
--- a/internal/core/admit/queue.go
+++ b/internal/core/admit/queue.go
@@ -52,6 +52,8 @@
 	tag float64
 	// mean is the moving average of the service time over all kinds, in seconds.
 	mean float64
+	// used is the usual service of all accounts.
+	used usage
 	// start is when the first request came; negative before.
 	start time.Duration
 	// known counts the callers in memory; idle lists those without requests,
@@ -59,6 +61,8 @@
 	known               int
 	idleFirst, idleLast *caller
 	meanWeight          float64
+	// present is the number of accounts in the document.
+	present int
 }
 
 // New returns an empty queue. Until the first SetDocument it refuses everything.
@@ -211,6 +215,7 @@
 	if len(doc.Accounts) > 0 {
 		q.meanWeight = float64(sum) / float64(len(doc.Accounts))
 	}
+	q.present = len(doc.Accounts)
 	keep := map[string]bool{}
 	for _, d := range doc.Accounts {
 		keep[d.Name] = true
--- a/internal/core/admit/serve.go
+++ b/internal/core/admit/serve.go
@@ -52,8 +52,9 @@
 		if !l.servable {
 			continue
 		}
-		a := l.shares.top().account
-		key := a.tag - l.lead*q.mean + l.work.mean/a.weight
+		s := l.shares.top()
+		a := s.account
+		key := s.turn() - l.lead*q.mean + l.work.mean/a.weight
 		if best == nil || key < bestKey {
 			best, bestKey = a, key
 		}
@@ -119,6 +120,7 @@
 	s, c := w.flow.share, w.flow.caller
 	a := s.account
 	a.tag += service / a.weight
+	a.lag = q.lag(now, a)
 	s.tag += service
 	c.tag += service
 	for _, o := range a.shares {
--- a/internal/core/admit/usual.go
+++ b/internal/core/admit/usual.go
@@ -18,6 +18,9 @@
 	// surplusWeight is how much of the service of surplus requests counts towards
 	// the usual service. A flood of ten minutes must not become the usual.
 	surplusWeight = 0.05
+	// earnedShare is the part of its weighted share that an account usually gets
+	// when its surplus stands back fully.
+	earnedShare = 0.5
 	// learnMin is the shortest time over which usual service is averaged.
 	learnMin = time.Minute
 )
@@ -71,8 +74,20 @@
 		service *= surplusWeight
 	}
 	c := w.flow.caller
-	for _, u := range []*usage{&c.used, &c.account.used} {
+	for _, u := range []*usage{&c.used, &c.account.used, &q.used} {
 		u.fade(now, q.cfg.UsualTime)
 		u.sum = max(u.sum+service, 0)
 	}
 }
+
+// lag returns how far the account's surplus stands back behind the usual requests
+// of other accounts. An account whose usual service is far below its weighted
+// share, as a new one's is, stands back less, so that it comes to its share.
+func (q *Queue) lag(now time.Duration, a *account) float64 {
+	due := earnedShare * a.weight / float64(max(q.present, 1)) * q.usual(now, &q.used)
+	part := 1.0
+	if own := q.usual(now, &a.used); own < due {
+		part = own / due
+	}
+	return part * q.cfg.AccountLag * q.mean
+}
