Let the estimate of others' slots fade more slowly

Change: half-life 8 s; a report that came with an answer stays fresh for 2 s whatever the half-life.

--- a/internal/core/route/config.go
+++ b/internal/core/route/config.go
@@ -16,7 +16,7 @@
 	// taken; 2 by default.
 	Choices int
 	// OthersHalfLife is how fast the estimate of the slots in use by other
-	// entries fades; 2 s by default.
+	// entries fades; 8 s by default.
 	OthersHalfLife time.Duration
 	// HoldMin and HoldMax bound how long a target that refused is left alone;
 	// 20 ms and 1 s by default. The hold doubles with each refusal in a row.
@@ -64,7 +64,7 @@
 		c.FarBytesPerSecond = defaultFarBytes
 	}
 	set(&c.Choices, 2)
-	set(&c.OthersHalfLife, 2*time.Second)
+	set(&c.OthersHalfLife, 8*time.Second)
 	set(&c.HoldMin, 20*time.Millisecond)
 	set(&c.HoldMax, time.Second)
 	set(&c.SlowStart, 10*time.Second)
--- a/internal/core/route/target.go
+++ b/internal/core/route/target.go
@@ -26,6 +26,10 @@
 	Up, Draining bool
 }
 
+// reportFresh is how long a report that came with an answer counts as newer than
+// any report that came by way of other processes.
+const reportFresh = 2 * time.Second
+
 // health is where a target stands with regard to ejection.
 type health int
 
@@ -133,7 +137,7 @@
 	r.place(t)
 	// A report that came with an answer is newer than one that went through
 	// other processes.
-	if t.reportAt < 0 || now-t.reportAt > r.cfg.OthersHalfLife {
+	if t.reportAt < 0 || now-t.reportAt > reportFresh {
 		t.others, t.othersAt = float64(max(in.Busy-t.own, 0)), now
 	}
 	r.refresh(now, t)
