One definition of the gang's times

Cause: the scheduler's wait before a restart repeated the agent's leases as numbers; a change of one would not have changed the other.

Ruled out: settings (the two sides must agree).

Change: the scheduler adds up the constants of internal/core/gangs and peers.

--- a/internal/core/gangs/gangs.go
+++ b/internal/core/gangs/gangs.go
@@ -44,6 +44,9 @@
 	// CallLimit bounds one call to the worker or to the leader. A longer call
 	// would exceed the 500 ms that the bound of a partial gang allows for it.
 	CallLimit = 500 * time.Millisecond
+	// IsolationLimit is how long an agent that no entry answers keeps its tasks.
+	// The wait before the restart of a gang that cannot be reached counts on it.
+	IsolationLimit = 20 * time.Second
 	// StopRetry is the pause before a failed stop call is repeated.
 	StopRetry = 100 * time.Millisecond
 )
--- a/internal/node/agent/announce.go
+++ b/internal/node/agent/announce.go
@@ -10,6 +10,7 @@
 	"google.golang.org/protobuf/proto"
 
 	"github.com/chestnutpond/chestnutpond"
+	"github.com/chestnutpond/chestnutpond/internal/core/gangs"
 	"github.com/chestnutpond/chestnutpond/internal/core/home"
 	"github.com/chestnutpond/chestnutpond/internal/wire/inner"
 )
@@ -28,12 +29,10 @@
 	// firstRetry and lastRetry bound the jittered pause before the next stream.
 	firstRetry = 100 * time.Millisecond
 	lastRetry  = 3 * time.Second
-	// isolationLimit is how long an agent that no entry answers keeps its
-	// tasks, and isolationSlack the least time that it has after a silent
-	// stream to find another entry. A scheduler waits 29 s after the home entry
+	// isolationSlack is the least time that an agent has after a silent stream to
+	// find another entry before it counts as isolated. A scheduler waits 29 s after the home entry
 	// declared the agent lost, which it does after the same silence, before it
 	// starts a gang again of which it can reach no member.
-	isolationLimit = 20 * time.Second
 	isolationSlack = 5 * time.Second
 )
 
@@ -145,7 +144,7 @@
 func (n *announcer) isolated(now time.Time) bool {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	return now.Sub(n.answered) >= max(isolationLimit, n.silence()+isolationSlack)
+	return now.Sub(n.answered) >= max(gangs.IsolationLimit, n.silence()+isolationSlack)
 }
 
 func (n *announcer) connected() bool {
--- a/internal/node/agent/fault_test.go
+++ b/internal/node/agent/fault_test.go
@@ -270,7 +270,7 @@
 		e.mu.Lock()
 		e.mute = true
 		e.mu.Unlock()
-		time.Sleep(isolationLimit - 2*time.Second)
+		time.Sleep(gangs.IsolationLimit - 2*time.Second)
 		assert.Equal(t, w.running(2, 1), 2)
 		time.Sleep(2*time.Second + gangs.BeatEvery + gangs.CallLimit)
 		assert.Equal(t, w.running(2, 1), 0)
--- a/internal/node/peers/group.go
+++ b/internal/node/peers/group.go
@@ -25,16 +25,17 @@
 	exchangeTimeout = exchangeWait + time.Second
 	exchangeRetry   = 300 * time.Millisecond
 	expireEvery     = 200 * time.Millisecond
-	// vouchLimit is how long an entry that reads no log and hears no majority of
-	// the known entries still answers its agents. The scheduler of a region
-	// counts on it before it restarts a gang that it cannot reach.
-	vouchLimit = 60 * time.Second
 	// forgetAfter is how long a lost agent stays in the table.
 	forgetAfter = 2 * time.Hour
 	// addressLimit bounds the known addresses of entries.
 	addressLimit = 256
 )
 
+// VouchLimit is how long an entry that reads no log and hears no majority of the
+// known entries still answers its agents. The scheduler of a region counts on it
+// before it restarts a gang that it cannot reach.
+const VouchLimit = 60 * time.Second
+
 // Dialer gives connections to other processes.
 type Dialer interface {
 	// Get returns a connection for one call and the function that ends the call.
@@ -203,7 +204,7 @@
 func (g *Group) vouches() bool {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	return g.cutSince == 0 || g.Now()-g.cutSince < vouchLimit
+	return g.cutSince == 0 || g.Now()-g.cutSince < VouchLimit
 }
 
 // noteCut tells the group whether the log is read. The caller holds mu.
@@ -216,7 +217,7 @@
 		g.cutSince = now
 		return
 	}
-	if now-g.cutSince >= vouchLimit {
+	if now-g.cutSince >= VouchLimit {
 		g.noticeAll()
 	}
 }
--- a/internal/node/sched/calls.go
+++ b/internal/node/sched/calls.go
@@ -8,13 +8,12 @@
 	"google.golang.org/protobuf/types/known/durationpb"
 
 	"github.com/chestnutpond/chestnutpond"
+	"github.com/chestnutpond/chestnutpond/internal/core/gangs"
 	"github.com/chestnutpond/chestnutpond/internal/core/place"
 	"github.com/chestnutpond/chestnutpond/internal/wire/inner"
 )
 
 const (
-	// holdTTL is how long an agent keeps a reservation without a commit.
-	holdTTL = 3 * time.Second
 	// prepareTimeout and commitTimeout bound one call; both are parts of the
 	// time in which urgent work starts.
 	prepareTimeout = 300 * time.Millisecond
@@ -87,7 +86,7 @@
 func (a *attempt) prepareOne(ctx context.Context, agent inner.AgentClient, p chestnutpond.Placement) *place.Failure {
 	reply, err := agent.Prepare(ctx, &inner.PrepareRequest{
 		Region: a.region.name, Term: a.region.term, Job: string(a.spec.ID), Attempt: a.number,
-		Member: int32(p.Member), Accelerators: indexes(p), HoldTtl: durationpb.New(holdTTL),
+		Member: int32(p.Member), Accelerators: indexes(p), HoldTtl: durationpb.New(gangs.HoldTTL),
 		Incarnation: p.Incarnation, Cause: a.cause(),
 	})
 	if err != nil {
--- a/internal/node/sched/inspect.go
+++ b/internal/node/sched/inspect.go
@@ -5,27 +5,26 @@
 
 	"github.com/chestnutpond/chestnutpond"
 	"github.com/chestnutpond/chestnutpond/internal/core/fleet"
+	"github.com/chestnutpond/chestnutpond/internal/core/gangs"
 	"github.com/chestnutpond/chestnutpond/internal/core/place"
+	"github.com/chestnutpond/chestnutpond/internal/node/peers"
 	"github.com/chestnutpond/chestnutpond/internal/wire/inner"
 )
 
 const (
 	// rowGrace is how long after the commit a row may not show the task yet.
 	rowGrace = 3 * time.Second
+	// gangMargin covers the calls between the leases of gangGone.
+	gangMargin = 1500 * time.Millisecond
 	// gangGone is how long after one member surely stopped all others have
-	// stopped too: hold_ttl 3 s, gang_lease 2.5 s, task_lease 2 s, margin 1.5 s.
-	gangGone = 9 * time.Second
-	// isolationLimit is how long an agent without any entry keeps its tasks.
-	isolationLimit = 20 * time.Second
-	// vouchLimit is how long an entry that is cut off from the log and from most
-	// entries still answers its agents.
-	vouchLimit = 60 * time.Second
+	// stopped too.
+	gangGone = gangs.HoldTTL + gangs.GangLease + gangs.TaskLease + gangMargin
 	// unreachableGone is how long after the last contact with any member a whole
 	// gang has stopped, if no entry is lost that its agents may still reach.
-	unreachableGone = isolationLimit + gangGone
+	unreachableGone = gangs.IsolationLimit + gangGone
 	// cutOffGone is the same while entries are lost. peerLost and the detection
 	// of the cut by the other side are in its last term.
-	cutOffGone = vouchLimit + unreachableGone + 10*time.Second
+	cutOffGone = peers.VouchLimit + unreachableGone + 10*time.Second
 )
 
 // goneAfter returns how long after the last contact a whole gang has surely
