Metrics of regions, requests, refusals, the log and the membership

Cause: whether a guarantee is covered, for how long claims wait and what the log, the exchange and the refusals cost was not to be seen in /metrics. The gauges of a region are set once a second by the entry that schedules it, also while the log is down, and go to 0 with its term. Refusals are counted in one place of the HTTP server. A claim counts from the decision to claim accelerators to the start of all members. Mended on the way: a term that was lost and won again between two looks at the log left the former scheduler of the region running beside the new one. In the test of a reclaim with a checkpoint of 0.5 s the debt reads 0.5.

--- a/internal/node/entry/entry.go
+++ b/internal/node/entry/entry.go
@@ -143,7 +143,7 @@
 			Name: cfg.Name, Incarnation: cfg.Incarnation, Address: cfg.Advertise, Region: cfg.Region, Zone: cfg.Zone,
 		},
 		Entries: cfg.Entries, Dialer: e.pool, Tail: e.tail, Listener: e,
-		Events: cfg.Events, Logger: cfg.Logs.Logger("peers"),
+		Events: cfg.Events, Logger: cfg.Logs.Logger("peers"), Metrics: cfg.Metrics,
 	})
 	e.serve = serve.New(serve.Config{
 		Origin: e.origin, Region: cfg.Region, Zone: cfg.Zone, Seed: uint64(cfg.Incarnation),
--- a/internal/node/entry/http.go
+++ b/internal/node/entry/http.go
@@ -12,6 +12,7 @@
 	"github.com/labstack/echo/v4"
 
 	"github.com/chestnutpond/chestnutpond"
+	"github.com/chestnutpond/chestnutpond/internal/obs/stats"
 )
 
 const (
@@ -53,6 +54,7 @@
 	r.HideBanner = true
 	r.HidePort = true
 	r.HTTPErrorHandler = failRoute
+	r.Use(e.countRefusals)
 	r.GET("/healthz", func(c echo.Context) error { return c.String(http.StatusOK, "ok\n") })
 	r.GET("/readyz", e.getReady)
 	r.GET("/metrics", echo.WrapHandler(e.cfg.Metrics))
@@ -69,6 +71,26 @@
 	return r
 }
 
+// failureKey is where fail leaves what it answered, for countRefusals.
+const failureKey = "failure"
+
+// countRefusals counts the answers that are not what the caller asked for.
+func (e *Entry) countRefusals(next echo.HandlerFunc) echo.HandlerFunc {
+	return func(c echo.Context) error {
+		err := next(c)
+		if err != nil {
+			// Answered here, so that an unknown path is counted too.
+			c.Error(err)
+		}
+		if f, ok := c.Get(failureKey).(failure); ok {
+			e.cfg.Metrics.Counter("refusals_total", "Answers that are not what the caller asked for, by outcome and reason.",
+				stats.Label{Name: "outcome", Value: string(f.Outcome)},
+				stats.Label{Name: "reason", Value: string(f.Reason)}).Inc(1)
+		}
+		return nil
+	}
+}
+
 // failRoute answers what no handler answered: an unknown path or method.
 func failRoute(err error, c echo.Context) {
 	if c.Response().Committed {
@@ -183,6 +205,7 @@
 }
 
 func fail(c echo.Context, status int, f failure) error {
+	c.Set(failureKey, f)
 	c.Response().Header().Set(headerOutcome, string(f.Outcome))
 	return c.JSON(status, f)
 }
--- a/internal/node/peers/group.go
+++ b/internal/node/peers/group.go
@@ -12,6 +12,7 @@
 	"github.com/chestnutpond/chestnutpond/internal/core/fleet"
 	"github.com/chestnutpond/chestnutpond/internal/core/ledger"
 	"github.com/chestnutpond/chestnutpond/internal/node/tail"
+	"github.com/chestnutpond/chestnutpond/internal/obs/stats"
 	"github.com/chestnutpond/chestnutpond/internal/wire/inner"
 )
 
@@ -59,12 +60,14 @@
 	Listener Listener
 	Events   chestnutpond.EventSink
 	Logger   *slog.Logger
+	Metrics  *stats.Registry
 }
 
 // Group is the membership of one entry.
 type Group struct {
-	cfg   Config
-	start time.Time
+	cfg    Config
+	start  time.Time
+	meters *meters
 
 	// mu guards the fields below. No other lock is taken under it.
 	mu    sync.Mutex
@@ -85,6 +88,7 @@
 	return &Group{
 		cfg:     cfg,
 		start:   time.Now(),
+		meters:  newMeters(cfg.Metrics),
 		table:   fleet.New(fleet.Config{Self: cfg.Self.Name}),
 		peers:   fleet.NewPeers(fleet.PeersConfig{Self: cfg.Self, LostAfter: peerLost}),
 		changed: make(chan struct{}),
--- a/internal/node/peers/home.go
+++ b/internal/node/peers/home.go
@@ -91,6 +91,7 @@
 
 // hear takes in one message. It reports whether the agent is known.
 func (s *session) hear(req *inner.AnnounceRequest) bool {
+	s.group.meters.heartbeats.Inc(1)
 	s.version = max(s.version, req.GetConfigVersion())
 	m := req.GetMember()
 	if m == nil {
--- a/internal/node/peers/poll.go
+++ b/internal/node/peers/poll.go
@@ -66,6 +66,7 @@
 		}
 		return false
 	}
+	p.group.meters.exchangeReceived.Inc(int64(proto.Size(reply)))
 	restarted := p.table != reply.GetTable()
 	p.since = reply.GetNext()
 	p.table = reply.GetTable()
@@ -115,7 +116,13 @@
 	if waiting {
 		wait(ctx, changed, req.GetWait().AsDuration())
 	}
-	return g.exchangeReply(since), nil
+	reply := g.exchangeReply(since)
+	size := int64(proto.Size(reply))
+	g.meters.exchangeSent.Inc(size)
+	if req.GetFrom().GetRegion() != g.cfg.Self.Region {
+		g.meters.farSent.Inc(size)
+	}
+	return reply, nil
 }
 
 func (g *Group) exchangeReply(since int64) *inner.ExchangeReply {
--- a/internal/node/sched/attempt.go
+++ b/internal/node/sched/attempt.go
@@ -55,6 +55,8 @@
 	since time.Duration
 	// started means that the core knows that the attempt runs.
 	started bool
+	// startedAt is when the attempt was first seen running, in the region's time.
+	startedAt time.Duration
 	// signal holds one element while there is news.
 	signal chan struct{}
 
@@ -208,7 +210,9 @@
 func (a *attempt) noteStarted() {
 	a.started = true
 	r := a.region
+	a.startedAt = r.m.now()
 	r.mu.Lock()
+	r.noteStart(a)
 	r.core.Running(r.m.now(), a.spec.ID, a.number)
 	r.mu.Unlock()
 	r.event(chestnutpond.EventStarted, a, "")
@@ -249,6 +253,7 @@
 	if halted.completed {
 		return a.finish(ctx, chestnutpond.JobCompleted, halted.result, "")
 	}
+	a.region.noteLost(a, halted)
 	a.put(ctx, ledger.StopJob{
 		Job: a.spec.ID, Attempt: a.number, Region: a.region.name, Term: a.region.term,
 		Checkpoint: halted.checkpoint, Reason: reason,
--- a/internal/node/sched/fake_test.go
+++ b/internal/node/sched/fake_test.go
@@ -63,6 +63,8 @@
 	ends   map[string]int
 	// bad are the workers on which every task fails.
 	bad map[string]bool
+	// saveTime is the time of a stop with a checkpoint.
+	saveTime time.Duration
 }
 
 type agent struct {
@@ -70,6 +72,8 @@
 	fenced map[string]int64
 	holds  map[string]time.Time
 	dead   bool
+	// noSave makes its tasks stop without a checkpoint.
+	noSave bool
 }
 
 type entry struct {
@@ -271,6 +275,9 @@
 	case *inner.CommitRequest:
 		res = w.commit(a, req)
 	case *inner.StopRequest:
+		if req.GetCheckpoint().AsDuration() > 0 {
+			time.Sleep(w.saveTime)
+		}
 		res = w.stopTask(a, req)
 	}
 	if after {
@@ -367,7 +374,11 @@
 		w.move(a.member.GetName(), req.GetJob(), req.GetAttempt(), inner.TaskState_TASK_STATE_STOPPED)
 		w.breakGang(req.GetJob(), req.GetAttempt())
 	}
-	return &inner.StopReply{Stopped: true, State: t.GetState(), Checkpoint: "c"}
+	reply := &inner.StopReply{Stopped: true, State: t.GetState()}
+	if !a.noSave {
+		reply.Checkpoint = "c"
+	}
+	return reply
 }
 
 // breakGang lets the other members stop by themselves after the gang lease.
--- a/internal/node/sched/manager.go
+++ b/internal/node/sched/manager.go
@@ -265,12 +265,13 @@
 		m.release(ctx, t)
 		return
 	}
+	if r := m.region(t.Region); r != nil && r.term != t.Number {
+		// The term was lost and won again between two looks at the log.
+		m.letGo(ledger.Term{Region: t.Region})
+	}
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	if m.draining {
-		return
-	}
-	if r, ok := m.regions[t.Region]; ok && r.term == t.Number {
+	if _, running := m.regions[t.Region]; running || m.draining {
 		return
 	}
 	r := newRegion(m, t, m.document)
--- a/internal/node/sched/notes.go
+++ b/internal/node/sched/notes.go
@@ -9,8 +9,9 @@
 )
 
 const (
-	// waitingEvery is how often the reasons of waiting jobs are compared.
-	waitingEvery = time.Second
+	// reportEvery is how often the reasons of waiting jobs are compared and the
+	// gauges are set.
+	reportEvery = time.Second
 	// waitingNotes bounds the events of one comparison; the rest follows with
 	// the next ones, so that a long queue does not push all other events out.
 	waitingNotes = 64
@@ -18,7 +19,7 @@
 
 // notes remembers what was recorded, so that only changes are.
 type notes struct {
-	// next is when the reasons of waiting jobs are compared again.
+	// next is when the next report is due.
 	next time.Duration
 	// waiting holds the recorded reason of each waiting job.
 	waiting map[chestnutpond.JobID]string
@@ -32,15 +33,10 @@
 
 // noteWaiting records the jobs whose reason to wait has changed. The caller
 // holds mu.
-func (r *region) noteWaiting() {
-	now := r.m.now()
-	if now < r.notes.next {
-		return
-	}
-	r.notes.next = now + waitingEvery
+func (r *region) noteWaiting(queued []ledger.Job) {
 	waiting := make(map[chestnutpond.JobID]string)
 	left := waitingNotes
-	for _, j := range r.queued() {
+	for _, j := range queued {
 		reason, ok := r.core.Waiting(j.Spec.ID)
 		if !ok {
 			continue
@@ -61,14 +57,21 @@
 	r.notes.waiting = waiting
 }
 
-// queued returns the region's jobs that wait according to the log.
-func (r *region) queued() (jobs []ledger.Job) {
+// open returns the region's jobs that wait according to the log, and the number
+// of those that run.
+func (r *region) open() (queued []ledger.Job, running int) {
 	r.m.cfg.Tail.View(func(st *ledger.State) {
-		jobs = st.Jobs(func(j ledger.Job) bool {
-			return j.Spec.Region == r.name && j.State == chestnutpond.JobQueued
+		queued = st.Jobs(func(j ledger.Job) bool {
+			if j.Spec.Region != r.name {
+				return false
+			}
+			if j.State == chestnutpond.JobRunning {
+				running++
+			}
+			return j.State == chestnutpond.JobQueued
 		})
 	})
-	return jobs
+	return queued, running
 }
 
 // noteEjected records the workers that were ejected because an attempt failed.
--- a/internal/node/sched/notes_test.go
+++ b/internal/node/sched/notes_test.go
@@ -10,7 +10,9 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/chestnutpond/chestnutpond"
+	"github.com/chestnutpond/chestnutpond/internal/core/ledger"
 	"github.com/chestnutpond/chestnutpond/internal/obs/events"
+	"github.com/chestnutpond/chestnutpond/internal/obs/stats"
 )
 
 // history returns the entry's events of a job, or all for an empty id.
@@ -62,6 +64,64 @@
 	})
 }
 
+// metric returns the lines of a metric.
+func (e *entry) metric(t *testing.T, name string) string {
+	var text strings.Builder
+	assert.NilError(t, e.metrics.WriteText(&text))
+	var lines []string
+	for line := range strings.Lines(text.String()) {
+		if strings.HasPrefix(line, stats.Prefix+name) {
+			lines = append(lines, strings.TrimPrefix(strings.TrimSpace(line), stats.Prefix))
+		}
+	}
+	return strings.Join(lines, "; ")
+}
+
+// Guards against an uncovered guarantee, a slow claim or lost work that no alarm
+// can see, and against gauges that stay when the term is over.
+func TestMetricsOfARegion(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld(t)
+		w.saveTime = 500 * time.Millisecond
+		e := w.addEntry("a")
+		time.Sleep(5 * time.Second)
+		w.submit(e, "b1", "stock", 24)
+		w.submit(e, "b2", "stock", 24)
+		w.submit(e, "b3", "stock", 24)
+		time.Sleep(1500 * time.Millisecond)
+		assert.Equal(t, e.metric(t, "jobs_running"), `jobs_running{region="pampa"} 2`)
+		assert.Equal(t, e.metric(t, "jobs_waiting"),
+			`jobs_waiting{account="sales",region="pampa"} 0; jobs_waiting{account="stock",region="pampa"} 1`)
+		w.submit(e, "claim", "sales", 16)
+		time.Sleep(settle)
+		assert.Equal(t, e.metric(t, "preemptions_total"), `preemptions_total{region="pampa"} 1`)
+		assert.Equal(t, e.metric(t, "claim_start_seconds_count"), `claim_start_seconds_count{region="pampa"} 1`)
+		covered := `guarantee_uncovered{account="sales",region="pampa"} 0`
+		assert.Equal(t, e.metric(t, "guarantee_uncovered"), covered+`; guarantee_uncovered{account="stock",region="pampa"} 0`)
+		assert.Equal(t, e.metric(t, "guarantee_debt_seconds"),
+			`guarantee_debt_seconds{account="sales",region="pampa"} 0.5; guarantee_debt_seconds{account="stock",region="pampa"} 0`)
+
+		w.submit(e, "lost", "stock", 24)
+		time.Sleep(time.Second)
+		w.mu.Lock()
+		for _, a := range w.agents {
+			a.noSave = true
+		}
+		w.mu.Unlock()
+		assert.NilError(t, e.tail.Append(t.Context(), ledger.CancelJob{Job: "lost"}))
+		time.Sleep(settle)
+		assert.Equal(t, e.metric(t, "work_lost"), `work_lost_accelerator_seconds_total{region="pampa"} 24`)
+		for _, name := range []string{"w0", "w1", "w3", "w4"} {
+			w.die(name)
+		}
+		time.Sleep(settle)
+		uncovered := `guarantee_uncovered{account="sales",region="pampa"} 1`
+		assert.Assert(t, strings.HasPrefix(e.metric(t, "guarantee_uncovered"), uncovered))
+		e.kill()
+		assert.Assert(t, strings.HasPrefix(e.metric(t, "guarantee_uncovered"), covered))
+	})
+}
+
 // Guards against a reason to wait that is recorded in each round, or never.
 func TestWaitingIsRecordedOnChange(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/internal/node/sched/region.go
+++ b/internal/node/sched/region.go
@@ -40,8 +40,11 @@
 	// attempts are those in progress, one for each job.
 	attempts map[chestnutpond.JobID]*attempt
 	// strays are tasks that were told to stop, with the time of the last call.
-	strays  map[chestnutpond.TaskID]time.Duration
-	notes   *notes
+	strays map[chestnutpond.TaskID]time.Duration
+	notes  *notes
+	// claims is when accelerators were claimed for the jobs that do not run yet.
+	claims  map[chestnutpond.JobID]time.Duration
+	meters  *meters
 	running sync.WaitGroup
 }
 
@@ -54,6 +57,8 @@
 		attempts: make(map[chestnutpond.JobID]*attempt),
 		strays:   make(map[chestnutpond.TaskID]time.Duration),
 		notes:    newNotes(),
+		claims:   make(map[chestnutpond.JobID]time.Duration),
+		meters:   newMeters(m.cfg.Metrics, t.Region),
 	}
 	r.load(doc)
 	return r
@@ -98,6 +103,7 @@
 	r.startAdopted()
 	for {
 		r.decide()
+		r.report()
 		timer := time.NewTimer(r.nextWake())
 		select {
 		case <-parent.Done():
@@ -126,6 +132,7 @@
 	r.cancel()
 	<-r.ended
 	r.running.Wait()
+	r.meters.clear()
 }
 
 func (r *region) wake() {
@@ -156,7 +163,6 @@
 	for _, action := range r.core.Decide(r.m.now()) {
 		r.carryOut(action)
 	}
-	r.noteWaiting()
 }
 
 func (r *region) carryOut(action place.Action) {
@@ -184,7 +190,9 @@
 	a.checkpoint = job.Checkpoint
 	r.attempts[action.Job] = a
 	r.event(chestnutpond.EventPlaced, a, action.Reason)
-	if !action.Guaranteed {
+	if action.Guaranteed {
+		r.noteClaim(action.Job)
+	} else {
 		r.event(chestnutpond.EventBorrowed, a, "")
 	}
 	r.running.Add(1)
@@ -196,6 +204,8 @@
 	if !ok {
 		return
 	}
+	r.meters.preemptions.Inc(1)
+	r.noteClaim(action.For)
 	// The event comes first, because the attempt names it as the cause of its
 	// stop as soon as it is woken.
 	r.m.cfg.Events.Add(chestnutpond.Event{
@@ -263,6 +273,7 @@
 		}
 	case ledger.ChangeEnded:
 		if !active {
+			delete(r.claims, c.Job)
 			r.core.Remove(r.m.now(), c.Job)
 		}
 	}
@@ -295,6 +306,7 @@
 	case endStopped:
 		r.core.Stopped(now, id, a.number)
 	case endFinal:
+		delete(r.claims, id)
 		r.core.Remove(now, id)
 	}
 	r.noteEjected(a, end.failure)
--- a/internal/node/serve/send.go
+++ b/internal/node/serve/send.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/cespare/xxhash/v2"
+	"google.golang.org/protobuf/proto"
 	"google.golang.org/protobuf/types/known/durationpb"
 
 	"github.com/chestnutpond/chestnutpond"
@@ -110,6 +111,9 @@
 		return refusal(inner.Refusal_REFUSAL_DEADLINE, "deadline passed before the request was sent")
 	}
 	call.Timeout = durationpb.New(left)
+	if row.Member.GetRegion() != s.cfg.Region {
+		s.meters.farSent.Inc(int64(proto.Size(call)))
+	}
 	reply, err := s.call(address, call, left)
 	if err == nil && whole(call, reply) {
 		return verdict{outcome: reply.GetOutcome(), refusal: reply.GetRefusal(), reply: reply, reason: reply.GetReason()}
--- a/internal/node/serve/server.go
+++ b/internal/node/serve/server.go
@@ -93,8 +93,9 @@
 
 // Server serves the requests of one entry.
 type Server struct {
-	cfg   Config
-	start time.Time
+	cfg    Config
+	start  time.Time
+	meters *meters
 
 	// mu guards the cores and the fields below. No other lock is taken under it.
 	mu      sync.Mutex
@@ -128,6 +129,7 @@
 	s := &Server{
 		cfg:     cfg,
 		start:   time.Now(),
+		meters:  newMeters(cfg.Metrics),
 		queue:   admit.New(admit.Config{}),
 		router:  route.New(route.Config{Region: cfg.Region, Zone: cfg.Zone, Seed: cfg.Seed}),
 		waiting: make(map[string]*waiter),
@@ -222,14 +224,15 @@
 		return Result{Outcome: chestnutpond.OutcomeNotRun, Reason: chestnutpond.ReasonDraining, RetryAfter: time.Second}
 	}
 	defer s.leave()
-	deadline := s.now() + r.Timeout
+	began := s.now()
+	deadline := began + r.Timeout
 	var res Result
 	if !r.Kind.Idempotent && r.Key != "" {
 		res = s.keys.do(ctx, r, deadline)
 	} else {
 		res = s.serve(ctx, r, deadline)
 	}
-	s.note(r, res)
+	s.note(r, res, s.now()-began)
 	return res
 }
 
@@ -249,9 +252,8 @@
 	s.open--
 }
 
-func (s *Server) note(r Request, res Result) {
-	outcome := stats.Label{Name: "outcome", Value: string(res.Outcome)}
-	s.cfg.Metrics.Counter("requests_total", "Requests by outcome.", outcome).Inc(1)
+func (s *Server) note(r Request, res Result, took time.Duration) {
+	s.meters.note(r, res, took)
 	kind := chestnutpond.EventServed
 	if res.Outcome != chestnutpond.OutcomeAnswered {
 		kind = chestnutpond.EventRefused
--- a/internal/node/tail/append.go
+++ b/internal/node/tail/append.go
@@ -3,11 +3,13 @@
 import (
 	"context"
 	"errors"
+	"time"
 
 	"github.com/cenkalti/backoff/v5"
 
 	"github.com/chestnutpond/chestnutpond"
 	"github.com/chestnutpond/chestnutpond/internal/core/ledger"
+	"github.com/chestnutpond/chestnutpond/internal/obs/stats"
 )
 
 // Append adds a record and waits until the state has folded it. The caller then
@@ -71,7 +73,29 @@
 func (t *Tail) tryAppend(ctx context.Context, data []byte) (int64, error) {
 	actx, cancel := context.WithTimeout(ctx, appendTimeout)
 	defer cancel()
-	return t.cfg.Log.Append(actx, data)
+	began := time.Now()
+	offset, err := t.cfg.Log.Append(actx, data)
+	t.noteAppend(time.Since(began), err)
+	return offset, err
+}
+
+// noteAppend counts one try. Only the time of a good one is measured, because
+// that of the others is mostly a limit of this process.
+func (t *Tail) noteAppend(took time.Duration, err error) {
+	result := "ok"
+	var failed *chestnutpond.AppendError
+	switch {
+	case err == nil:
+		t.cfg.Metrics.Seconds("log_append_seconds", "Time of an append that was answered.").Observe(took)
+	case errors.As(err, &failed) && failed.Limited:
+		result = "limited"
+	case errors.As(err, &failed) && !failed.Ambiguous:
+		result = "refused"
+	default:
+		result = "ambiguous"
+	}
+	l := stats.Label{Name: "result", Value: result}
+	t.cfg.Metrics.Counter("log_appends_total", "Tries to append a record, by result.", l).Inc(1)
 }
 
 // Moved returns a channel that is closed when the state moves next.
