Placement: backlog order, preemption by level, aged reservations

Change: callers that wait for half of the region come last; shares of accounts are counted by level; borrowers preempt borrowers of lower levels; a reservation is made after 10 min at the head and preempts after 2 min; small guaranteed jobs use partly used workers first; an account's work takes its cells back from its own backlogged callers.

--- a/internal/core/place/borrow.go
+++ b/internal/core/place/borrow.go
@@ -17,6 +17,9 @@
 		if len(j.avoid) > 0 && c.dodge(j) {
 			continue
 		}
+		if c.preemptFor(j, l) {
+			continue
+		}
 		l.failedAt = c.fleet.growth
 		if first {
 			c.reserve(j)
@@ -31,10 +34,10 @@
 	var best *lane
 	bestRank := 0
 	for _, l := range c.queue.lanes {
-		if l.accounts.len() == 0 || l.failedAt == c.fleet.growth {
+		if l.accounts.len() == 0 || l.failedAt == c.fleet.growth && (l.retryAt == 0 || c.now < l.retryAt) {
 			continue
 		}
-		rank := c.rank(l)
+		rank := c.rank(l.head())
 		if best == nil || rank < bestRank || rank == bestRank && before(l.head(), best.head()) {
 			best, bestRank = l, rank
 		}
@@ -42,29 +45,41 @@
 	return best
 }
 
-// rank is the rank of the lane's class, or the highest while jobs of the class
-// hold less than the share that is kept for it.
-func (c *Core) rank(l *lane) int {
-	var share int
-	switch l.key.rank {
+// rank is the level at which the job would start, or the highest while jobs of
+// that level hold less than the share that is kept for it.
+func (c *Core) rank(j *job) int {
+	level := c.level(j)
+	if c.queue.used[level]*100 < c.share(level)*c.fleet.accelerators {
+		return 0
+	}
+	return level
+}
+
+// backlogShare is the percentage of accelerators kept for backlogged callers.
+const backlogShare = 5
+
+// share is the percentage of accelerators that is kept for a level.
+func (c *Core) share(level int) int {
+	switch level {
 	case 0:
 		return 0
 	case 1:
-		share = c.cfg.StandardShare
+		return c.cfg.StandardShare
+	case lastLevel:
+		return backlogShare
 	default:
-		share = c.cfg.BulkShare
-	}
-	if c.queue.used[l.key.rank]*100 < share*c.fleet.accelerators {
-		return 0
+		return c.cfg.BulkShare
 	}
-	return l.key.rank
 }
 
 // borrow starts a job on free accelerators, outside cells if possible.
 func (c *Core) borrow(j *job) bool {
 	q := query{shape: j.spec.Shape, view: viewOpen, avoid: j.avoid}
+	if c.cfg.has(FeatureSharedFit) {
+		q.view = viewLend
+	}
 	picks, ok := c.fleet.find(q)
-	if !ok {
+	if !ok && q.view == viewOpen {
 		q.view = viewLend
 		picks, ok = c.fleet.find(q)
 	}
@@ -110,7 +125,7 @@
 // reserve sets accelerators aside for the job at the head of the queue, where
 // the fewest are held by others.
 func (c *Core) reserve(j *job) {
-	if j.size() == 1 {
+	if j.size() == 1 || c.cfg.has(FeaturePatience) && c.now < j.enqueued+c.cfg.ReservationAfter {
 		return
 	}
 	n := 0
@@ -140,6 +155,7 @@
 		})})
 	}
 	c.take(j)
+	j.reserved = c.now
 	c.claim(j, holds)
 	j.reason = "accelerators are reserved and not all free yet"
 }
--- a/internal/core/place/claim.go
+++ b/internal/core/place/claim.go
@@ -36,6 +36,16 @@
 	}
 }
 
+// claimable reports whether an account has to be looked at again.
+func (c *Core) claimable() bool {
+	for _, a := range c.ordered {
+		if a.check && a.waiting > 0 && len(a.cells) > 0 {
+			return true
+		}
+	}
+	return false
+}
+
 // claimNext claims for one job of the account and reports whether it did.
 func (c *Core) claimNext(a *account) bool {
 	heads := make([]*job, 0, len(a.nodes))
@@ -44,7 +54,7 @@
 	}
 	sort.Slice(heads, func(i, j int) bool {
 		x, y := heads[i], heads[j]
-		if p, q := x.spec.Class.Rank(), y.spec.Class.Rank(); p != q {
+		if p, q := c.level(x), c.level(y); p != q {
 			return p < q
 		}
 		return before(x, y)
@@ -84,6 +94,9 @@
 	if !ok {
 		return false
 	}
+	if c.float(j) {
+		return true
+	}
 	if !p.busy {
 		c.claimOn(j, best, p)
 		return true
@@ -92,7 +105,11 @@
 		return c.claimFor(j)
 	}
 	if j.account.used+j.size() <= j.account.guaranteed {
-		if picks, ok := c.fleet.find(query{shape: j.spec.Shape, view: viewOpen, avoid: j.avoid}); ok {
+		free := viewOpen
+		if c.cfg.has(FeatureSharedFit) {
+			free = viewLend
+		}
+		if picks, ok := c.fleet.find(query{shape: j.spec.Shape, view: free, avoid: j.avoid}); ok {
 			c.startBorrower(j, picks)
 			return true
 		}
@@ -105,7 +122,7 @@
 // cost; ok is false if none has room.
 func (c *Core) bestPlan(j *job) (best *cell, p plan, ok bool) {
 	for _, l := range j.account.cells {
-		if !l.covered() || l.shape.Accelerators-l.used < j.size() {
+		if !l.covered() || c.room(l, j) < j.size() {
 			continue
 		}
 		q, fits := c.planIn(l, j)
@@ -116,6 +133,27 @@
 	return best, p, best != nil
 }
 
+// float starts a job that is within the guarantee outside its cell, where a
+// worker is partly used already and the cell is not. It leaves the cell whole for
+// a larger job, and needs no protection: once preempted, it claims its cell.
+func (c *Core) float(j *job) bool {
+	if !c.cfg.has(FeatureFloat) || j.account.used+j.size() > j.account.guaranteed {
+		return false
+	}
+	for _, l := range j.account.cells {
+		if l.used > 0 && l.shape.Accelerators-l.used >= j.size() {
+			return false
+		}
+	}
+	q := query{shape: j.spec.Shape, view: viewOpen, avoid: j.avoid}
+	picks, ok := c.fleet.findWorker(q)
+	if !ok || picks[0].w.count[viewLend] == picks[0].w.size() {
+		return false
+	}
+	c.startBorrower(j, picks)
+	return true
+}
+
 func (p plan) better(o plan, l, other *cell) bool {
 	if p.busy != o.busy {
 		return !p.busy
@@ -145,7 +183,7 @@
 		if d.n < j.size() {
 			continue
 		}
-		if p := c.planOn(l, []pick{{d.w, j.size()}}); !found || p.cost < best.cost {
+		if p := c.planOn(l, j, []pick{{d.w, j.size()}}); !found || p.cost < best.cost {
 			best, found = p, true
 		}
 	}
@@ -154,7 +192,7 @@
 	}
 	for _, group := range byRack(cands) {
 		if picks, ok := choose(group, j.size()); ok {
-			if p := c.planOn(l, picks); !found || p.cost < best.cost {
+			if p := c.planOn(l, j, picks); !found || p.cost < best.cost {
 				best, found = p, true
 			}
 		}
@@ -166,7 +204,7 @@
 	if !ok {
 		return plan{}, false
 	}
-	return c.planOn(l, picks), true
+	return c.planOn(l, j, picks), true
 }
 
 // candidates returns the workers of the cell with what they offer to its owner.
@@ -180,7 +218,7 @@
 		n, cost := 0, int64(0)
 		for _, i := range p.index {
 			s := &p.w.slots[i]
-			if !s.offered() {
+			if !c.offered(s, j) {
 				continue
 			}
 			n++
@@ -195,9 +233,34 @@
 	return cands
 }
 
-// offered reports whether the owner of the cell may claim the accelerator.
-func (s *slot) offered() bool {
-	return (s.claim == nil || !s.claim.guaranteed) && (s.job == nil || !s.job.guaranteed)
+// offered reports whether a job of the owner of the cell may claim the
+// accelerator.
+func (c *Core) offered(s *slot, j *job) bool {
+	return (s.claim == nil || !s.claim.guaranteed) &&
+		(s.job == nil || !s.job.guaranteed || c.displaces(j, s.job))
+}
+
+// displaces reports whether a job may take a cell of its account from another
+// job of the account: only from one of a backlogged caller.
+func (c *Core) displaces(j, held *job) bool {
+	return c.cfg.has(FeatureDisplace) && held.account == j.account && held.level == lastLevel &&
+		held.state == stateRunning && c.level(j) < lastLevel
+}
+
+// room is the number of accelerators of the cell that the job may claim.
+func (c *Core) room(l *cell, j *job) int {
+	n := l.shape.Accelerators - l.used
+	if n >= j.size() || c.level(j) == lastLevel {
+		return n
+	}
+	for _, p := range l.parts {
+		for _, i := range p.index {
+			if o := p.w.slots[i].job; o != nil && o.cell == l && c.displaces(j, o) {
+				n++
+			}
+		}
+	}
+	return n
 }
 
 func byRack(cands []candidate) [][]candidate {
@@ -235,14 +298,14 @@
 	if j.state == stateRunning {
 		run = int64(c.now-j.since) / lossPerGPUUnit * int64(j.size())
 	}
-	return int64(lastRank-min(j.spec.Class.Rank(), lastRank))*lossPerClass + run + lossPerJob
+	return int64(lastLevel-j.level)*lossPerClass + run + lossPerJob
 }
 
 // planOn chooses the accelerators of the cell on the picked workers.
-func (c *Core) planOn(l *cell, picks []pick) plan {
+func (c *Core) planOn(l *cell, j *job, picks []pick) plan {
 	var p plan
 	for _, k := range picks {
-		h, victims, busy := c.pickSlots(l, k)
+		h, victims, busy := c.pickSlots(k, func(s *slot) bool { return s.cell == l && c.offered(s, j) })
 		p.holds = append(p.holds, h)
 		p.busy = p.busy || busy
 		for _, v := range victims {
@@ -255,17 +318,17 @@
 	return p
 }
 
-// pickSlots chooses accelerators of one worker of the cell: free ones, then
-// those that are being freed, then those of the borrowers that lose the least.
-// No chosen borrower can be spared.
-func (c *Core) pickSlots(l *cell, k pick) (hold, []*job, bool) {
+// pickSlots chooses accelerators of one worker among the offered ones: free ones,
+// then those that are being freed, then those of the borrowers that lose the
+// least. No chosen borrower can be spared.
+func (c *Core) pickSlots(k pick, offered func(s *slot) bool) (hold, []*job, bool) {
 	var free, stopping []int
 	var borrowers []*job
 	of := map[*job][]int{}
 	for i := range k.w.slots {
 		s := &k.w.slots[i]
 		switch {
-		case s.cell != l || !s.offered():
+		case !offered(s):
 		case s.job == nil:
 			free = append(free, i)
 		case s.job.state == stateStopping:
@@ -297,7 +360,7 @@
 	for _, v := range victims {
 		index = append(index, of[v]...)
 	}
-	index = index[:k.n]
+	index = index[:min(k.n, len(index))]
 	sortInts(index)
 	return hold{k.w, index}, victims, len(free) < k.n
 }
@@ -306,12 +369,18 @@
 // claims them and preempts the borrowers.
 func (c *Core) claimOn(j *job, l *cell, p plan) {
 	c.take(j)
+	for _, v := range p.victims {
+		if v.cell != nil {
+			c.leaveCell(v)
+			c.setGuaranteed(v, false)
+		}
+	}
 	j.cell = l
 	j.guaranteed = true
 	l.used += j.size()
 	c.claim(j, p.holds)
 	for _, v := range p.victims {
-		c.preempt(v, j)
+		c.preempt(v, j, "the owner of the cell claims it")
 	}
 	if len(p.victims) > 0 {
 		c.noteReclaim(l)
@@ -327,13 +396,16 @@
 	c.startClaimed(j)
 }
 
-func (c *Core) preempt(v, by *job) {
+func (c *Core) preempt(v, by *job, reason string) {
 	if v.state == stateStopping {
 		return
 	}
 	v.state = stateStopping
+	for _, h := range v.held {
+		c.fleet.touch(h.w)
+	}
 	c.actions = append(c.actions, Action{
 		Kind: ActionPreempt, Job: v.spec.ID, Attempt: v.attempt, Placements: v.placements(v.held),
-		Reason: "the owner of the cell claims it", For: by.spec.ID,
+		Reason: reason, For: by.spec.ID,
 	})
 }
--- a/internal/core/place/config.go
+++ b/internal/core/place/config.go
@@ -34,10 +34,52 @@
 	EjectTimeLimit time.Duration
 	// MaxAttempts applies to jobs that state none.
 	MaxAttempts int
+	// PreemptAfter is how long a job waits before it may preempt borrowers of a
+	// lower level; urgent jobs do so at once.
+	PreemptAfter time.Duration
+	// PreemptMinRun is the shortest run of a borrower before a more urgent
+	// borrower may preempt it. It doubles with each preemption of the same job.
+	PreemptMinRun time.Duration
+	// ReservationAfter is how long a job at the head of the queue waits before it
+	// gets a reservation, which leaves accelerators unused until it starts.
+	ReservationAfter time.Duration
+	// ReservationPatience is how long a reservation waits for accelerators
+	// before it preempts the borrowers on them.
+	ReservationPatience time.Duration
+	// Without switches off parts of the policy. The measurement table keeps
+	// earlier versions this way.
+	Without Feature
 	// ReservationLimit is the number of jobs that hold a reservation at a time.
 	ReservationLimit int
 }
 
+// Feature is a set of parts of the policy.
+type Feature uint
+
+const (
+	// FeatureSharedFit fits borrowers over all free accelerators at once, so
+	// that partly used workers fill up before a cell or an open worker is begun.
+	FeatureSharedFit Feature = 1 << iota
+	// FeatureBacklog orders the work of callers with a large backlog last.
+	FeatureBacklog
+	// FeaturePreempt lets borrowers preempt borrowers of a lower level.
+	FeaturePreempt
+	// FeaturePatience lets old reservations preempt borrowers.
+	FeaturePatience
+	// FeatureFloat starts small jobs within a guarantee on partly used workers
+	// before their own cell.
+	FeatureFloat
+	// FeatureDisplace lets the jobs of an account take its cells back from its
+	// own backlogged callers.
+	FeatureDisplace
+)
+
+// FeaturesAll is every part; without them all, the policy is its first version.
+const FeaturesAll = FeatureSharedFit | FeatureBacklog | FeaturePreempt | FeaturePatience |
+	FeatureFloat | FeatureDisplace
+
+func (c Config) has(f Feature) bool { return c.Without&f == 0 }
+
 // ejectPercent is the share of workers that may be ejected at a time. At least
 // one worker may be.
 const ejectPercent = 20
@@ -54,6 +96,10 @@
 	setTime(&c.EjectTime, 15*time.Second)
 	setTime(&c.EjectTimeLimit, time.Hour)
 	setInt(&c.MaxAttempts, 3)
+	setTime(&c.PreemptAfter, 15*time.Second)
+	setTime(&c.PreemptMinRun, time.Minute)
+	setTime(&c.ReservationAfter, 10*time.Minute)
+	setTime(&c.ReservationPatience, 2*time.Minute)
 	setInt(&c.ReservationLimit, 1)
 	return c
 }
--- a/internal/core/place/core.go
+++ b/internal/core/place/core.go
@@ -145,12 +145,12 @@
 		}
 		holds = append(holds, hold{w, p.Accelerators})
 	}
-	c.grab(j, holds)
 	j.state = stateRunning
 	j.since = c.now
 	if stopping {
 		j.state = stateStopping
 	}
+	c.grab(j, holds)
 	if guaranteed {
 		c.orphans = append(c.orphans, j)
 		c.cellsDirty = true
@@ -166,6 +166,10 @@
 	}
 	j.state = stateRunning
 	j.since = c.now
+	j.account.check = j.account.check || j.level == lastLevel
+	for _, h := range j.held {
+		c.fleet.touch(h.w)
+	}
 	c.probation = append(c.probation, probe{j, attempt, c.now + c.cfg.HealthyAfter})
 }
 
@@ -202,11 +206,11 @@
 	switch j.state {
 	case stateWaiting:
 		c.queue.remove(j)
-		j.account.waiting--
+		c.countWaiting(j, -1)
 		j.account.check = true
 	case stateDelayed:
 		c.delayed.remove(j)
-		j.account.waiting--
+		c.countWaiting(j, -1)
 	case stateClaiming:
 		c.unclaim(j)
 	case stateStarting, stateRunning, stateStopping:
@@ -218,7 +222,8 @@
 
 // enqueue makes a detached job wait, now or after its retry delay.
 func (c *Core) enqueue(j *job) {
-	j.account.waiting++
+	c.countWaiting(j, 1)
+	j.enqueued = c.now
 	if j.notBefore > c.now {
 		j.state = stateDelayed
 		c.delayed.push(j)
--- a/internal/core/place/decide.go
+++ b/internal/core/place/decide.go
@@ -38,6 +38,22 @@
 // returns nothing.
 func (c *Core) Decide(now time.Duration) []Action {
 	c.advance(now)
+	c.refresh()
+	c.startClaims()
+	c.ageReservations()
+	// Starting borrowers can end a caller's backlog, and then its jobs may claim
+	// more. Each turn takes a job out of the queue.
+	for again := true; again; again = c.claimable() {
+		c.claimGuarantees()
+		c.startBorrowers()
+	}
+	actions := c.actions
+	c.actions = nil
+	return actions
+}
+
+// refresh applies what is due by the time alone, and places cells.
+func (c *Core) refresh() {
 	c.survey()
 	c.endEjections()
 	c.openCells()
@@ -49,12 +65,6 @@
 	if c.cellsDirty {
 		c.recompute()
 	}
-	c.startClaims()
-	c.claimGuarantees()
-	c.startBorrowers()
-	actions := c.actions
-	c.actions = nil
-	return actions
 }
 
 // NextWake returns when Decide should run again even if nothing is reported
@@ -78,13 +88,23 @@
 	if len(c.probation) > 0 {
 		add(c.probation[0].at)
 	}
+	for _, l := range c.queue.lanes {
+		if l.accounts.len() > 0 && l.retryAt > c.now {
+			add(l.retryAt)
+		}
+	}
+	for _, j := range c.claims {
+		if at := j.reserved + c.cfg.ReservationPatience; !j.guaranteed && at > c.now {
+			add(at)
+		}
+	}
 	return wake, ok
 }
 
 // take removes a waiting job from its lane.
 func (c *Core) take(j *job) {
 	c.queue.remove(j)
-	j.account.waiting--
+	c.countWaiting(j, -1)
 	j.state = stateNew
 	j.reason = ""
 }
@@ -196,8 +216,8 @@
 
 // start begins the next attempt of a job on accelerators that are free.
 func (c *Core) start(j *job, holds []hold) {
-	c.grab(j, holds)
 	j.state = stateStarting
+	c.grab(j, holds)
 	j.reason = ""
 	j.attempt++
 	c.actions = append(c.actions, Action{
--- a/internal/core/place/fit.go
+++ b/internal/core/place/fit.go
@@ -89,7 +89,10 @@
 	var best *worker
 	for _, w := range r.workers {
 		k := w.count[q.view]
-		if k < q.shape.Accelerators || best != nil && k >= best.count[q.view] || !q.allows(w) {
+		if k < q.shape.Accelerators || best != nil && k > best.count[q.view] || !q.allows(w) {
+			continue
+		}
+		if best != nil && k == best.count[q.view] && w.count[viewOpen] <= best.count[viewOpen] {
 			continue
 		}
 		best = w
@@ -145,7 +148,7 @@
 	for _, w := range r.workers {
 		if n := w.count[q.view]; n > 0 && q.allows(w) {
 			cost := int64(0)
-			if q.view == viewSoon {
+			if q.view >= viewSoon {
 				cost = int64(n - w.count[viewLend])
 			}
 			to = append(to, candidate{w, n, cost})
--- a/internal/core/place/fleet.go
+++ b/internal/core/place/fleet.go
@@ -28,6 +28,11 @@
 	// viewSoon counts unclaimed accelerators that no guaranteed job holds and
 	// that are not on a closed cell.
 	viewSoon
+	// viewOver1 and the next two add to viewLend what running borrowers of at
+	// least that level hold.
+	viewOver1
+	viewOver2
+	viewOver3
 	viewCount
 )
 
@@ -78,8 +83,11 @@
 		return s.job == nil && s.claim == nil && (s.cell == nil || !s.cell.closed)
 	case viewCell:
 		return s.cell == nil
-	default:
+	case viewSoon:
 		return s.claim == nil && (s.job == nil || !s.job.guaranteed) && (s.cell == nil || !s.cell.closed)
+	default:
+		level := int(v-viewOver1) + 1
+		return s.claim == nil && (s.cell == nil || !s.cell.closed) && (s.job == nil || s.job.below(level))
 	}
 }
 
--- a/internal/core/place/job.go
+++ b/internal/core/place/job.go
@@ -56,6 +56,16 @@
 	// since is when the attempt started to run.
 	since time.Duration
 
+	// level orders borrowers: the rank of the class, or lastLevel if the caller
+	// had a large backlog when the attempt started or claimed accelerators.
+	level int
+	// enqueued is when the job began to wait.
+	enqueued time.Duration
+	// preemptions counts how often another borrower preempted the job.
+	preemptions int
+	// reserved is when the job got a reservation, while it has one.
+	reserved time.Duration
+
 	// notBefore is the earliest time of the next attempt.
 	notBefore time.Duration
 	// retries counts failed starts in a row.
@@ -86,7 +96,9 @@
 	// used counts the accelerators held; borrowed those of them that jobs hold
 	// which are not guaranteed.
 	used, borrowed int
-	waiting        int
+	// borrowedAt splits borrowed by level.
+	borrowedAt [lastLevel + 1]int
+	waiting    int
 	// check means that a waiting job may fit a cell.
 	check bool
 	// claims counts guaranteed jobs that wait for preempted work to stop.
@@ -101,8 +113,10 @@
 	account *account
 	nodes   []*laneCaller
 	jobs    int
-	// used counts the accelerators held.
-	used int
+	// used counts the accelerators held, waiting those that waiting jobs ask for.
+	used, waiting int
+	// backlogged means that the caller waits for a large part of the region.
+	backlogged bool
 }
 
 func (a *account) caller(name string) *caller {
@@ -114,9 +128,42 @@
 	return l
 }
 
+// backlogPart is the part of the region's accelerators that a caller must wait
+// for to be backlogged: one half. It is so until it waits for half as many.
+const backlogPart = 2
+
+// countWaiting counts a job that begins (1) or ends (-1) to wait.
+func (c *Core) countWaiting(j *job, sign int) {
+	l := j.caller
+	j.account.waiting += sign
+	l.waiting += sign * j.size()
+	limit := max(c.fleet.accelerators/backlogPart, workerBacklog)
+	if l.backlogged {
+		limit /= 2
+	}
+	backlogged := l.waiting > limit && c.cfg.has(FeatureBacklog)
+	if backlogged != l.backlogged {
+		l.backlogged = backlogged
+		j.account.check = true
+		c.queue.reorder(j.account, l)
+	}
+}
+
+// workerBacklog is the least number of accelerators that makes a backlog.
+const workerBacklog = 16
+
+// level is the level at which an attempt starts now.
+func (c *Core) level(j *job) int {
+	if j.caller.backlogged {
+		return lastLevel
+	}
+	return min(j.spec.Class.Rank(), lastRank)
+}
+
 // grab gives accelerators to a job.
 func (c *Core) grab(j *job, holds []hold) {
 	j.held = holds
+	j.level = c.level(j)
 	n := 0
 	for _, h := range holds {
 		for _, i := range h.index {
@@ -157,9 +204,10 @@
 	j.account.used += n
 	if !j.guaranteed {
 		j.account.borrowed += n
+		j.account.borrowedAt[j.level] += n
 	}
 	j.caller.used += n
-	c.queue.used[min(j.spec.Class.Rank(), lastRank)] += n
+	c.queue.used[j.level] += n
 	c.queue.reorder(j.account, j.caller)
 }
 
@@ -177,6 +225,7 @@
 	}
 	j.guaranteed = guaranteed
 	j.account.borrowed += n
+	j.account.borrowedAt[j.level] += n
 	c.queue.reorder(j.account, nil)
 	for _, h := range j.held {
 		c.fleet.touch(h.w)
--- a/internal/core/place/queue.go
+++ b/internal/core/place/queue.go
@@ -2,12 +2,17 @@
 
 import (
 	"sort"
+	"time"
 
 	"github.com/chestnutpond/chestnutpond"
 )
 
-// lastRank is the rank of the least urgent class.
-const lastRank = 2
+const (
+	// lastRank is the rank of the least urgent class.
+	lastRank = 2
+	// lastLevel is the level of the jobs of backlogged callers.
+	lastLevel = lastRank + 1
+)
 
 type laneKey struct {
 	rank  int
@@ -21,6 +26,8 @@
 	// failedAt is the growth of the fleet when the lane's shape last had no
 	// place; -1 if it may have one.
 	failedAt int64
+	// retryAt is when its head may preempt although nothing changed.
+	retryAt time.Duration
 }
 
 // laneAccount is the part of a lane that belongs to one account. It exists
@@ -46,14 +53,17 @@
 	byKey map[laneKey]*lane
 	// lanes are ordered by class, then size, then adjacency.
 	lanes []*lane
-	// used counts the accelerators that the jobs of each class hold.
-	used [lastRank + 1]int
+	// used counts the accelerators that the jobs of each level hold.
+	used [lastLevel + 1]int
 }
 
 // before orders jobs within a lane or between lanes of equal rank.
 func before(a, b *job) bool {
+	if a.caller.backlogged != b.caller.backlogged {
+		return b.caller.backlogged
+	}
 	if a.account != b.account {
-		x, y := a.account.borrowed*b.account.weight, b.account.borrowed*a.account.weight
+		x, y := a.share()*b.account.weight, b.share()*a.account.weight
 		if x != y {
 			return x < y
 		}
@@ -64,6 +74,16 @@
 	return a.seq < b.seq
 }
 
+// share is what the job's account borrows at the level at which the job would
+// start. Levels are apart so that an account's long bulk work does not hold up
+// its small jobs.
+func (j *job) share() int {
+	if j.caller.backlogged {
+		return j.account.borrowedAt[lastLevel]
+	}
+	return j.account.borrowedAt[min(j.spec.Class.Rank(), lastRank)]
+}
+
 func (l *lane) head() *job        { return l.accounts.top().head() }
 func (n *laneAccount) head() *job { return n.callers.top().jobs.top() }
 func (n *laneCaller) first() *job { return n.jobs.top() }
--- a/internal/test/bench/policy.go
+++ b/internal/test/bench/policy.go
@@ -34,6 +34,9 @@
 	return []Candidate{
 		{Name: "first_fit", Baseline: true, New: func(uint64) Policy { return newFirstFit(false) }},
 		{Name: "strict_priority", Baseline: true, New: func(uint64) Policy { return newFirstFit(true) }},
+		{Name: "core_v1", New: func(seed uint64) Policy {
+			return place.New(place.Config{Region: region, Seed: seed, Without: place.FeaturesAll})
+		}},
 		{Name: "core", New: func(seed uint64) Policy { return place.New(place.Config{Region: region, Seed: seed}) }},
 	}
 }
