--- a/internal/core/fleet/peers.go
+++ b/internal/core/fleet/peers.go
@@ -65,6 +65,15 @@
 	return lost
 }
 
+// Forget removes peers that are lost for longer than keep.
+func (p *Peers) Forget(now time.Duration, keep time.Duration) {
+	for name, peer := range p.peers {
+		if peer.Lost && now-peer.LostAt > keep {
+			delete(p.peers, name)
+		}
+	}
+}
+
 // LostSince tells since when a peer is lost. An unknown peer is not lost.
 func (p *Peers) LostSince(name string) (time.Duration, bool) {
 	peer, ok := p.peers[name]
--- a/internal/node/dials/pool.go
+++ b/internal/node/dials/pool.go
@@ -24,7 +24,8 @@
 	// probeEvery is the interval of probes on a connection with calls.
 	probeEvery = time.Second
 	// silentAfter is how long a probe may go unanswered. Together with
-	// probeEvery it bounds how long a silent connection holds up its calls.
+	// probeEvery it bounds how long a silent connection holds up its calls to
+	// 2 s.
 	silentAfter = time.Second
 	// idleAfter is how long an unused connection is kept.
 	idleAfter = 10 * time.Minute
@@ -66,6 +67,8 @@
 	calls int
 	// used is when the last call began or ended.
 	used time.Time
+	// probing means that a probe is under way.
+	probing bool
 	// closed means that the connection was replaced.
 	closed bool
 }
@@ -78,38 +81,46 @@
 // Get returns a connection to address for one call. The caller calls the
 // returned function when the call is over.
 func (p *Pool) Get(address string) (grpc.ClientConnInterface, func(), error) {
+	c, err := p.get(address)
+	if err != nil {
+		return nil, nil, err
+	}
+	return c.client, c.end, nil
+}
+
+func (p *Pool) get(address string) (*Conn, error) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	c, ok := p.conns[address]
 	if !ok {
 		client, err := grpc.NewClient("passthrough:///"+address, p.options()...)
 		if err != nil {
-			return nil, nil, Error.Wrap(err)
+			return nil, Error.Wrap(err)
 		}
 		c = &Conn{client: client, address: address}
 		p.conns[address] = c
 	}
 	c.begin()
-	return c.client, c.end, nil
+	return c, nil
 }
 
 // Ready returns nil once the connection to address is established. After an
 // error, nothing was sent on it, so a call that was to follow provably did not
 // run.
 func (p *Pool) Ready(ctx context.Context, address string) error {
-	conn, done, err := p.Get(address)
+	c, err := p.get(address)
 	if err != nil {
 		return err
 	}
-	defer done()
-	client := conn.(*grpc.ClientConn)
+	defer c.end()
+	client := c.client
 	for {
 		state := client.GetState()
 		if state == connectivity.Ready {
 			return nil
 		}
 		if state == connectivity.TransientFailure || state == connectivity.Shutdown {
-			p.Replace(address)
+			p.drop(c)
 			return Error.New("connection to %s is in state %s", address, state)
 		}
 		client.Connect()
@@ -172,20 +183,23 @@
 		}
 		return
 	}
-	if time.Since(used) < probeEvery || p.cfg.Probe == nil {
+	// A connection that is in constant use is probed too: calls that begin on it
+	// are no sign of life.
+	if p.cfg.Probe == nil || !c.beginProbe() {
 		return
 	}
 	probe := &probe{pool: p, conn: c}
 	go probe.run(ctx)
 }
 
-// Replace closes the connection to address, so that the next call gets a new
-// one.
-func (p *Pool) Replace(address string) {
+// Replace closes a connection that Get returned for the address, so that the
+// next call gets a new one. If that has happened already, nothing is closed:
+// the calls on the new connection go on.
+func (p *Pool) Replace(address string, conn grpc.ClientConnInterface) {
 	p.mu.Lock()
 	c, ok := p.conns[address]
 	p.mu.Unlock()
-	if ok {
+	if ok && c.client == conn {
 		p.drop(c)
 	}
 }
@@ -227,6 +241,21 @@
 	return c.calls, c.used
 }
 
+// beginProbe reports whether no probe is under way yet.
+func (c *Conn) beginProbe() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	first := !c.probing
+	c.probing = true
+	return first
+}
+
+func (c *Conn) endProbe() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.probing = false
+}
+
 func (c *Conn) close() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -242,6 +271,7 @@
 }
 
 func (r *probe) run(ctx context.Context) {
+	defer r.conn.endProbe()
 	pctx, cancel := context.WithTimeout(ctx, silentAfter)
 	defer cancel()
 	err := r.pool.cfg.Probe(pctx, r.conn.client)
--- a/internal/node/entry/entry.go
+++ b/internal/node/entry/entry.go
@@ -14,6 +14,7 @@
 	"github.com/zeebo/errs"
 	"google.golang.org/grpc"
 	"google.golang.org/grpc/credentials"
+	"google.golang.org/grpc/keepalive"
 
 	"github.com/chestnutpond/chestnutpond"
 	"github.com/chestnutpond/chestnutpond/internal/core/fleet"
@@ -43,6 +44,11 @@
 	closeLimit = 2 * time.Second
 	// headerTimeout bounds the reading of a request's header.
 	headerTimeout = 10 * time.Second
+	// keepaliveAfter and keepaliveTimeout end connections that went silent. Their
+	// Announce streams would otherwise stay open for ever, one for each time that
+	// an agent connected again.
+	keepaliveAfter   = 10 * time.Second
+	keepaliveTimeout = 5 * time.Second
 	// maxInnerMessage bounds an inner message, in bytes.
 	maxInnerMessage = 64 << 20
 )
@@ -232,6 +238,7 @@
 func (e *Entry) addInner(actors *run.Group) {
 	options := []grpc.ServerOption{
 		grpc.MaxRecvMsgSize(maxInnerMessage), grpc.MaxSendMsgSize(maxInnerMessage),
+		grpc.KeepaliveParams(keepalive.ServerParameters{Time: keepaliveAfter, Timeout: keepaliveTimeout}),
 	}
 	if e.cfg.ServerTLS != nil {
 		options = append(options, grpc.Creds(credentials.NewTLS(e.cfg.ServerTLS)))
--- a/internal/node/peers/group.go
+++ b/internal/node/peers/group.go
@@ -25,9 +25,17 @@
 	// before its peer counts as lost.
 	exchangeTimeout = exchangeWait + time.Second
 	exchangeRetry   = 300 * time.Millisecond
-	expireEvery     = 200 * time.Millisecond
-	// forgetAfter is how long a lost agent stays in the table.
+	// exchangeRetryLate is the pause once an entry has not answered for
+	// retrySoonFor: most such addresses belong to hosts that were replaced.
+	exchangeRetryLate = 3 * time.Second
+	retrySoonFor      = 30 * time.Second
+	expireEvery       = 200 * time.Millisecond
+	// forgetAfter is how long a lost agent or entry stays in the table.
 	forgetAfter = 2 * time.Hour
+	// followFor is how long the address of an entry is tried without an answer,
+	// unless it is in the settings. Hosts of entries are replaced at any time, so
+	// without it the known addresses would reach addressLimit.
+	followFor = 10 * time.Minute
 	// addressLimit bounds the known addresses of entries.
 	addressLimit = 256
 )
@@ -36,8 +44,8 @@
 type Dialer interface {
 	// Get returns a connection for one call and the function that ends the call.
 	Get(address string) (grpc.ClientConnInterface, func(), error)
-	// Replace closes the connection to address.
-	Replace(address string)
+	// Replace closes a connection that Get returned for the address.
+	Replace(address string, conn grpc.ClientConnInterface)
 }
 
 // Listener hears about changed rows. Calls hold no lock of the group and come
@@ -81,6 +89,8 @@
 	// stream has something to send.
 	notices  map[*session]struct{}
 	draining bool
+	// running is the context of Run; nil before it.
+	running context.Context
 }
 
 // New returns a group that knows only itself.
@@ -102,8 +112,11 @@
 
 // Run polls the other entries and expires silent agents until ctx ends.
 func (g *Group) Run(ctx context.Context) error {
+	g.mu.Lock()
+	g.running = ctx
+	g.mu.Unlock()
 	for _, address := range g.cfg.Entries {
-		g.follow(ctx, address)
+		g.follow(address)
 	}
 	ticker := time.NewTicker(expireEvery)
 	defer ticker.Stop()
@@ -203,6 +216,7 @@
 	lost := g.table.Expire(now, g.peers.LostSince)
 	rows := g.rowsOf(lost)
 	forgotten := g.table.Forget(now, forgetAfter)
+	g.peers.Forget(now, forgetAfter)
 	if len(lost) > 0 {
 		g.bump()
 	}
--- a/internal/node/peers/poll.go
+++ b/internal/node/peers/poll.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"google.golang.org/protobuf/proto"
@@ -17,21 +18,40 @@
 	address string
 	since   int64
 	table   int64
+	// name is the entry that answered last; empty if none did.
+	name string
+	// heard is when it answered, or when the poller was started.
+	heard time.Duration
 }
 
 // follow starts a poller for an address that has none.
-func (g *Group) follow(ctx context.Context, address string) {
+func (g *Group) follow(address string) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
+	if g.running == nil || g.running.Err() != nil {
+		return
+	}
 	if address == "" || address == g.cfg.Self.Address || len(g.pollers) >= addressLimit {
 		return
 	}
 	if _, running := g.pollers[address]; running {
 		return
 	}
-	p := &poller{group: g, address: address}
+	p := &poller{group: g, address: address, heard: g.Now()}
 	g.pollers[address] = p
-	go p.run(ctx)
+	go p.run(g.running)
+}
+
+// unfollow ends the poller of an address that is not in the settings and has not
+// answered for followFor. It reports whether it did.
+func (g *Group) unfollow(p *poller) bool {
+	if g.Now()-p.heard < followFor || slices.Contains(g.cfg.Entries, p.address) {
+		return false
+	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	delete(g.pollers, p.address)
+	return true
 }
 
 func (p *poller) run(ctx context.Context) {
@@ -39,7 +59,14 @@
 		if p.exchange(ctx) {
 			continue
 		}
-		timer := time.NewTimer(exchangeRetry)
+		if p.group.unfollow(p) {
+			return
+		}
+		delay := exchangeRetry
+		if p.group.Now()-p.heard > retrySoonFor {
+			delay = exchangeRetryLate
+		}
+		timer := time.NewTimer(delay)
 		select {
 		case <-ctx.Done():
 		case <-timer.C:
@@ -55,6 +82,11 @@
 		return false
 	}
 	defer done()
+	// The rows of a lost entry were marked as lost here, which its index does not
+	// know. All of them are asked for again.
+	if peer, known := p.group.Peer(p.name); known && peer.Lost {
+		p.since, p.table = 0, 0
+	}
 	ectx, cancel := context.WithTimeout(ctx, exchangeTimeout)
 	defer cancel()
 	reply, err := inner.NewEntryClient(conn).Exchange(ectx, &inner.ExchangeRequest{
@@ -62,7 +94,7 @@
 	})
 	if err != nil {
 		if ectx.Err() != nil && ctx.Err() == nil {
-			p.group.cfg.Dialer.Replace(p.address)
+			p.group.cfg.Dialer.Replace(p.address, conn)
 		}
 		return false
 	}
@@ -70,13 +102,15 @@
 	restarted := p.table != reply.GetTable()
 	p.since = reply.GetNext()
 	p.table = reply.GetTable()
-	p.group.learn(ctx, reply, restarted)
+	p.name = reply.GetFrom().GetName()
+	p.heard = p.group.Now()
+	p.group.learn(reply, restarted)
 	return true
 }
 
 // learn takes in the answer of another entry. When whole is set, the answer
 // lists all rows of that entry.
-func (g *Group) learn(ctx context.Context, reply *inner.ExchangeReply, whole bool) {
+func (g *Group) learn(reply *inner.ExchangeReply, whole bool) {
 	now := g.Now()
 	from := peerOf(reply.GetFrom())
 	var changed []fleet.Row
@@ -99,12 +133,14 @@
 		g.cfg.Listener.AgentChanged(row)
 	}
 	for _, peer := range reply.GetPeers() {
-		g.follow(ctx, peer.GetAddress())
+		g.follow(peer.GetAddress())
 	}
 }
 
-// Exchange serves the pollers of other entries.
+// Exchange serves the pollers of other entries. An entry that asks is followed in
+// turn, because its address may be in nobody's settings.
 func (g *Group) Exchange(ctx context.Context, req *inner.ExchangeRequest) (*inner.ExchangeReply, error) {
+	g.follow(req.GetFrom().GetAddress())
 	since := req.GetSince()
 	if req.GetTable() != g.cfg.Self.Incarnation {
 		since = 0
--- a/internal/node/serve/fake_test.go
+++ b/internal/node/serve/fake_test.go
@@ -186,8 +186,8 @@
 	return fleet.Peer{Name: name, Incarnation: 1, Address: name, Lost: w.down[name]}, true
 }
 
-func (w *world) Ready(context.Context, string) error { return nil }
-func (w *world) Replace(string)                      {}
+func (w *world) Ready(context.Context, string) error      { return nil }
+func (w *world) Replace(string, grpc.ClientConnInterface) {}
 
 func (w *world) Get(address string) (grpc.ClientConnInterface, func(), error) {
 	return &fakeConn{world: w, address: address}, func() {}, nil
--- a/internal/node/serve/send.go
+++ b/internal/node/serve/send.go
@@ -184,7 +184,7 @@
 		Attempt: call.GetAttempt(), Fence: true, Wait: durationpb.New(wait),
 	})
 	if ctx.Err() != nil {
-		s.cfg.Dialer.Replace(address)
+		s.cfg.Dialer.Replace(address, conn)
 	}
 	if err == nil && reply.GetRequest() == "" {
 		// An agent that never saw the attempt does not know its request.
--- a/internal/node/serve/server.go
+++ b/internal/node/serve/server.go
@@ -32,8 +32,8 @@
 	Get(address string) (grpc.ClientConnInterface, func(), error)
 	// Ready returns nil once the connection is established.
 	Ready(ctx context.Context, address string) error
-	// Replace closes the connection to address.
-	Replace(address string)
+	// Replace closes a connection that Get returned for the address.
+	Replace(address string, conn grpc.ClientConnInterface)
 }
 
 // Members tells where agents and entries are.
