--- a/internal/node/peers/group.go
+++ b/internal/node/peers/group.go
@@ -25,9 +25,17 @@
 	// before its peer counts as lost.
 	exchangeTimeout = exchangeWait + time.Second
 	exchangeRetry   = 300 * time.Millisecond
-	expireEvery     = 200 * time.Millisecond
-	// forgetAfter is how long a lost agent stays in the table.
+	// exchangeRetryLate is the pause once an entry has not answered for
+	// retrySoonFor: most such addresses belong to hosts that were replaced.
+	exchangeRetryLate = 3 * time.Second
+	retrySoonFor      = 30 * time.Second
+	expireEvery       = 200 * time.Millisecond
+	// forgetAfter is how long a lost agent or entry stays in the table.
 	forgetAfter = 2 * time.Hour
+	// followFor is how long the address of an entry is tried without an answer,
+	// unless it is in the settings. Hosts of entries are replaced at any time, so
+	// without it the known addresses would reach addressLimit.
+	followFor = 10 * time.Minute
 	// addressLimit bounds the known addresses of entries.
 	addressLimit = 256
 )
@@ -41,8 +49,8 @@
 type Dialer interface {
 	// Get returns a connection for one call and the function that ends the call.
 	Get(address string) (grpc.ClientConnInterface, func(), error)
-	// Replace closes the connection to address.
-	Replace(address string)
+	// Replace closes a connection that Get returned for the address.
+	Replace(address string, conn grpc.ClientConnInterface)
 }
 
 // Listener hears about changed rows. Calls hold no lock of the group and come
@@ -88,6 +96,8 @@
 	draining bool
 	// cutSince is since when this entry is cut off; zero while it is not.
 	cutSince time.Duration
+	// running is the context of Run; nil before it.
+	running context.Context
 }
 
 // New returns a group that knows only itself.
@@ -109,8 +119,11 @@
 
 // Run polls the other entries and expires silent agents until ctx ends.
 func (g *Group) Run(ctx context.Context) error {
+	g.mu.Lock()
+	g.running = ctx
+	g.mu.Unlock()
 	for _, address := range g.cfg.Entries {
-		g.follow(ctx, address)
+		g.follow(address)
 	}
 	ticker := time.NewTicker(expireEvery)
 	defer ticker.Stop()
--- a/internal/node/sched/fake_test.go
+++ b/internal/node/sched/fake_test.go
@@ -63,6 +63,8 @@
 	// starts and ends count the runs of each task.
 	starts map[string]int
 	ends   map[string]int
+	// overlaps lists tasks that started while another attempt of the job ran.
+	overlaps []string
 	// bad are the workers on which every task fails.
 	bad map[string]bool
 	// saveTime is the time of a stop with a checkpoint.
@@ -74,6 +76,9 @@
 	fenced map[string]int64
 	holds  map[string]time.Time
 	dead   bool
+	// cut means that no entry reaches the agent, since cutAt.
+	cut   bool
+	cutAt time.Duration
 	// noSave makes its tasks stop without a checkpoint.
 	noSave bool
 }
@@ -178,6 +183,13 @@
 	}
 }
 
+// appendWithin gives up after a time.
+func (e *entry) appendWithin(d time.Duration, body ledger.Body) error {
+	ctx, cancel := context.WithTimeout(e.world.t.Context(), d)
+	defer cancel()
+	return e.tail.Append(ctx, body)
+}
+
 func (e *entry) state(id string) (state chestnutpond.JobState) {
 	e.tail.View(func(st *ledger.State) {
 		j, _ := st.Job(chestnutpond.JobID(id))
@@ -198,7 +210,7 @@
 		return nil
 	}
 	for _, a := range e.world.agents {
-		rows = append(rows, fleet.Row{Member: a.member, Lost: a.dead})
+		rows = append(rows, fleet.Row{Member: a.member, Lost: a.dead || a.cut, LostAt: a.cutAt})
 	}
 	sort.Slice(rows, func(i, j int) bool { return rows[i].Member.GetName() < rows[j].Member.GetName() })
 	return rows
@@ -262,7 +274,7 @@
 func (w *world) call(address string, args any) (proto.Message, error) {
 	w.mu.Lock()
 	a := w.agents[address]
-	dead := a.dead
+	dead := a.dead || a.cut
 	var s step
 	switch args.(type) {
 	case *inner.PrepareRequest:
@@ -432,12 +444,35 @@
 	}
 	if state == inner.TaskState_TASK_STATE_RUNNING {
 		w.starts[taskKey(old)]++
+		w.noteOverlap(old)
 	}
 	t := proto.Clone(old).(*inner.Task)
 	t.State = state
 	w.setTask(w.agents[name], t)
 }
 
+// noteOverlap notes a start while another attempt of the job still runs.
+func (w *world) noteOverlap(task *inner.Task) {
+	for _, a := range w.agents {
+		for _, t := range a.member.GetTasks() {
+			other := t.GetJob() == task.GetJob() && t.GetAttempt() != task.GetAttempt()
+			if other && !a.dead && t.GetState() == inner.TaskState_TASK_STATE_RUNNING {
+				w.overlaps = append(w.overlaps, taskKey(task)+" with "+taskKey(t))
+			}
+		}
+	}
+}
+
+// names returns the agents' names in order.
+func (w *world) names() []string {
+	var names []string
+	for name := range w.agents {
+		names = append(names, name)
+	}
+	sort.Strings(names)
+	return names
+}
+
 // setTask stores a task in a new row and tells the entries. The caller holds mu.
 func (w *world) setTask(a *agent, task *inner.Task) {
 	m := proto.Clone(a.member).(*inner.Member)
@@ -457,7 +492,7 @@
 func (w *world) tell(name string) {
 	w.mu.Lock()
 	a := w.agents[name]
-	row := fleet.Row{Member: a.member, Lost: a.dead}
+	row := fleet.Row{Member: a.member, Lost: a.dead || a.cut, LostAt: a.cutAt}
 	var live []*entry
 	for _, e := range w.entries {
 		if !e.dead {
