A start whose append may still take effect is never given up

Ruled out: a longer timeout of the append (a delayed record has no bound).

Change: once one try is ambiguous, only the fold ends the attempt's wait. The test draws cuts, restarts, killed entries and log faults in virtual time and checks that every job ends, that no two attempts of a job run at once, and that nothing starts after a confirmed cancellation. Entries that stop in order say so and are no longer counted among the known entries.

--- a/internal/core/fleet/fleet_test.go
+++ b/internal/core/fleet/fleet_test.go
@@ -132,3 +132,38 @@
 	assert.Equal(t, len(ranks), 3)
 	assert.Equal(t, ranks[2], "c")
 }
+
+// TestMajority guards against an entry that counts those that left for good, or
+// that takes itself for the majority when it is cut off.
+func TestMajority(t *testing.T) {
+	tests := map[string]struct {
+		heard, lost, left int
+		want              bool
+	}{
+		"alone":                     {0, 0, 0, true},
+		"one of two":                {0, 1, 0, false},
+		"two of three":              {1, 1, 0, true},
+		"one of three":              {0, 2, 0, false},
+		"half of four":              {1, 2, 0, false},
+		"one, the others have left": {0, 0, 2, true},
+		"one of two, three left":    {0, 1, 3, false},
+	}
+	for name, tc := range tests {
+		t.Run(name, func(t *testing.T) {
+			p := NewPeers(PeersConfig{Self: Peer{Name: "self"}, LostAfter: time.Second})
+			for i := range tc.heard + tc.lost + tc.left {
+				peer := Peer{Name: string(rune('a' + i)), Incarnation: 1}
+				p.Heard(0, peer)
+				if i < tc.heard {
+					p.Heard(time.Minute, peer)
+				}
+				if i >= tc.heard+tc.lost {
+					p.Leave(0, peer)
+					p.Heard(time.Minute, peer)
+				}
+			}
+			p.Expire(time.Minute)
+			assert.Equal(t, p.Majority(), tc.want)
+		})
+	}
+}
--- a/internal/core/fleet/peers.go
+++ b/internal/core/fleet/peers.go
@@ -20,6 +20,9 @@
 	Lost bool
 	// LostAt is when Lost was set.
 	LostAt time.Duration
+	// Left means that the peer said that it stops; it is lost, and not counted
+	// among the known entries.
+	Left bool
 }
 
 // PeersConfig makes a Peers.
@@ -46,11 +49,27 @@
 	if peer.Name == p.cfg.Self.Name || (ok && old.Incarnation > peer.Incarnation) {
 		return
 	}
+	if ok && old.Left && old.Incarnation == peer.Incarnation {
+		return
+	}
 	peer.Heard = now
 	peer.Lost = false
 	p.peers[peer.Name] = &peer
 }
 
+// Leave notes that a peer said that it stops.
+func (p *Peers) Leave(now time.Duration, peer Peer) {
+	old, ok := p.peers[peer.Name]
+	if peer.Name == p.cfg.Self.Name || (ok && (old.Incarnation > peer.Incarnation || old.Left)) {
+		return
+	}
+	peer.Heard = now
+	peer.Lost = true
+	peer.LostAt = now
+	peer.Left = true
+	p.peers[peer.Name] = &peer
+}
+
 // Expire marks silent peers as lost and returns their names, sorted.
 func (p *Peers) Expire(now time.Duration) []string {
 	var lost []string
@@ -79,6 +98,9 @@
 func (p *Peers) Majority() bool {
 	heard, lost := 1, 0
 	for _, peer := range p.peers {
+		if peer.Left {
+			continue
+		}
 		if peer.Lost {
 			lost++
 		} else {
@@ -106,11 +128,13 @@
 	return *peer, true
 }
 
-// All returns the peers, by name.
+// All returns the peers that have not left, by name.
 func (p *Peers) All() []Peer {
 	all := make([]Peer, 0, len(p.peers))
 	for _, peer := range p.peers {
-		all = append(all, *peer)
+		if !peer.Left {
+			all = append(all, *peer)
+		}
 	}
 	sort.Slice(all, func(i, j int) bool { return all[i].Name < all[j].Name })
 	return all
--- a/internal/node/peers/group.go
+++ b/internal/node/peers/group.go
@@ -194,12 +194,14 @@
 	return g.peers.Rank(region)
 }
 
-// Drain makes the agents look for another home.
+// Drain makes the agents look for another home, and tells the other entries that
+// this one leaves.
 func (g *Group) Drain() {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.draining = true
 	g.noticeAll()
+	g.bump()
 }
 
 // LogChanged tells the agents' streams that the fold moved.
--- a/internal/node/peers/poll.go
+++ b/internal/node/peers/poll.go
@@ -115,7 +115,11 @@
 	from := peerOf(reply.GetFrom())
 	var changed []fleet.Row
 	g.mu.Lock()
-	g.peers.Heard(now, from)
+	if reply.GetLeaving() {
+		g.peers.Leave(now, from)
+	} else {
+		g.peers.Heard(now, from)
+	}
 	listed := make(map[string]bool, len(reply.GetMembers()))
 	for _, m := range reply.GetMembers() {
 		listed[m.GetName()] = true
@@ -166,7 +170,7 @@
 	defer g.mu.Unlock()
 	rows, next := g.table.Since(since)
 	reply := &inner.ExchangeReply{
-		From: peerMessage(g.cfg.Self), Next: next, Table: g.cfg.Self.Incarnation,
+		From: peerMessage(g.cfg.Self), Next: next, Table: g.cfg.Self.Incarnation, Leaving: g.draining,
 	}
 	for _, row := range rows {
 		reply.Members = append(reply.Members, rowMessage(row))
--- a/internal/node/sched/attempt.go
+++ b/internal/node/sched/attempt.go
@@ -136,6 +136,9 @@
 		Job: a.spec.ID, Attempt: a.number, Region: a.region.name, Term: a.region.term,
 		Guaranteed: a.guaranteed, Placements: a.placements,
 	}
+	// perhaps means that an earlier try may still take effect, so that a later
+	// refusal proves nothing.
+	perhaps := false
 	for ctx.Err() == nil {
 		err := a.append(ctx, body)
 		job, ok := a.job()
@@ -146,7 +149,8 @@
 			return job.Attempt == a.number, false
 		}
 		var failed *chestnutpond.AppendError
-		if err == nil || (errors.As(err, &failed) && !failed.Ambiguous) {
+		perhaps = perhaps || !errors.As(err, &failed) || failed.Ambiguous
+		if err == nil || !perhaps {
 			// The record is in the log and void, or it is surely not in the log.
 			return false, false
 		}
--- a/internal/node/sched/fake_test.go
+++ b/internal/node/sched/fake_test.go
@@ -60,9 +60,13 @@
 	calls   map[step]int
 	// blind is how long a new entry hears of no agent.
 	blind time.Duration
+	// runTime is how long each task runs.
+	runTime time.Duration
 	// starts and ends count the runs of each task.
 	starts map[string]int
 	ends   map[string]int
+	// started counts the starts of each entry.
+	started map[string]int64
 	// overlaps lists tasks that started while another attempt of the job ran.
 	overlaps []string
 	// bad are the workers on which every task fails.
@@ -84,14 +88,15 @@
 }
 
 type entry struct {
-	world   *world
-	name    string
-	ring    *events.Ring
-	trail   *events.Trail
-	metrics *stats.Registry
-	tail    *tail.Tail
-	manager *Manager
-	dead    bool
+	world       *world
+	name        string
+	ring        *events.Ring
+	trail       *events.Trail
+	metrics     *stats.Registry
+	tail        *tail.Tail
+	manager     *Manager
+	dead        bool
+	incarnation int64
 	// blindUntil is when the entry begins to hear of agents.
 	blindUntil time.Time
 	stop       context.CancelFunc
@@ -100,9 +105,9 @@
 
 func newWorld(t *testing.T, cuts ...cut) *world {
 	w := &world{
-		t: t, log: stand.NewLog("s"), start: time.Now(), cuts: cuts,
+		t: t, log: stand.NewLog("s"), start: time.Now(), cuts: cuts, runTime: runTime,
 		agents: make(map[string]*agent), entries: make(map[string]*entry), calls: make(map[step]int),
-		starts: make(map[string]int), ends: make(map[string]int),
+		started: make(map[string]int64), starts: make(map[string]int), ends: make(map[string]int),
 	}
 	for i := range 6 {
 		name := fmt.Sprintf("w%d", i)
@@ -120,9 +125,12 @@
 func (w *world) addEntry(name string) *entry {
 	logger := slog.New(slog.NewTextHandler(io.Discard, nil))
 	ring := events.New(events.Config{Process: name})
-	origin := ledger.Origin{Process: name, Incarnation: 1}
+	w.mu.Lock()
+	w.started[name]++
+	origin := ledger.Origin{Process: name, Incarnation: w.started[name]}
+	w.mu.Unlock()
 	e := &entry{
-		world: w, name: name, blindUntil: time.Now().Add(w.blind),
+		world: w, name: name, incarnation: origin.Incarnation, blindUntil: time.Now().Add(w.blind),
 		ring: ring, trail: events.NewTrail(ring), metrics: stats.New(),
 	}
 	e.tail = tail.New(tail.Config{
@@ -231,7 +239,7 @@
 	var peers []fleet.Peer
 	for name, other := range e.world.entries {
 		if name != e.name {
-			peers = append(peers, fleet.Peer{Name: name, Incarnation: 1, Region: "pampa", Lost: other.dead})
+			peers = append(peers, fleet.Peer{Name: name, Incarnation: other.incarnation, Region: "pampa", Lost: other.dead})
 		}
 	}
 	return peers
@@ -353,7 +361,7 @@
 			}
 			w.move(m.GetAgent(), req.GetJob(), req.GetAttempt(), state)
 		}
-		time.AfterFunc(runTime, func() { w.complete(req) })
+		time.AfterFunc(w.runTime, func() { w.complete(req) })
 	}
 	return &inner.CommitReply{Committed: true}
 }
