--- a/internal/node/peers/home.go
+++ b/internal/node/peers/home.go
@@ -68,7 +68,7 @@
 }
 
 func (s *session) serve() error {
-	asked := false
+	var asked bool
 	for {
 		select {
 		case req, ok := <-s.received:
