Gangs: a member tells its leader of an end by a lapsed lease

Cause: a member that gave up at the barrier sent no more beats, because its lease had lapsed; the leader ran alone until it found the member silent. Change: an ended member beats for one more gang_lease after its end.

--- a/internal/core/gangs/drive.go
+++ b/internal/core/gangs/drive.go
@@ -215,8 +215,9 @@
 	if !ok || task.over {
 		return Beat{}, false
 	}
-	if task.phase == ended && now.Sub(task.whole) >= GangLease {
-		// The leader has stopped the gang by now, or is gone.
+	if task.phase == ended && now.Sub(later(task.whole, task.endedAt)) >= GangLease {
+		// The leader knows of the end by now, or has stopped the gang because the
+		// member was silent, or is gone.
 		task.over = true
 		return Beat{}, false
 	}
