Keep a caller's usual work by kind, and let it displace its own surplus

Change: the allowance is kept by caller and kind; for a kind that it seldom sent it is an even part of what the caller usually gets. A caller whose queue is full displaces its own surplus instead of being refused. The idle list keeps callers that were served, as before.

--- a/internal/core/admit/bound.go
+++ b/internal/core/admit/bound.go
@@ -11,35 +11,42 @@
 }
 
 // room returns the flows that each have to give up their newest request before
-// one more of the caller fits, and false if there is no room for it.
-func (q *Queue) room(a *account, l *lane, c *caller) ([]*flow, bool) {
+// one more of the caller fits, and the reason if there is no room for it.
+func (q *Queue) room(a *account, l *lane, c *caller) ([]*flow, chestnutpond.Reason) {
 	var victims []*flow
-	if a.n >= a.limit {
+	if c.waiting >= q.callerLimit(a) {
+		f := c.longest()
+		if !over(f, l, c) {
+			return nil, chestnutpond.ReasonCallerLimit
+		}
+		victims = append(victims, f)
+	}
+	if len(victims) == 0 && a.n >= a.limit {
 		f := a.longest.top()
 		if !over(f, l, c) {
-			return nil, false
+			return nil, chestnutpond.ReasonQueueFull
 		}
 		victims = append(victims, f)
 	}
 	if l.work.n >= q.cfg.KindLimit && (len(victims) == 0 || victims[0].share.lane.work != l.work) {
 		f := l.work.longest.top()
 		if !over(f, l, c) {
-			return nil, false
+			return nil, chestnutpond.ReasonQueueFull
 		}
 		victims = append(victims, f)
 	}
 	if len(victims) == 0 && q.Len() >= q.cfg.Limit {
 		if q.n == 0 {
-			return nil, false
+			return nil, chestnutpond.ReasonQueueFull
 		}
 		b := q.big.top()
 		f := b.longest.top()
 		if b == a && !over(f, l, c) || b != a && float64(b.n-1)/b.weight <= float64(a.n)/a.weight {
-			return nil, false
+			return nil, chestnutpond.ReasonQueueFull
 		}
 		victims = append(victims, f)
 	}
-	return victims, true
+	return victims, ""
 }
 
 // over reports whether the flow has to give up a request for one of the caller in
@@ -171,7 +178,7 @@
 }
 
 func (q *Queue) addCaller(a *account, now time.Duration, name string) *caller {
-	c := &caller{name: name, account: a, since: now, tokens: q.mean, tokensAt: now}
+	c := &caller{name: name, account: a, since: now}
 	a.callers[name] = c
 	q.known++
 	return c
@@ -265,6 +272,18 @@
 	return s
 }
 
+// longest returns the flow of the caller that gives up a request first. The caller
+// has requests waiting.
+func (c *caller) longest() *flow {
+	var best *flow
+	for _, f := range c.flows {
+		if f.n > 0 && (best == nil || longer(f, best)) {
+			best = f
+		}
+	}
+	return best
+}
+
 func (c *caller) find(s *share) *flow {
 	for _, f := range c.flows {
 		if f.share == s {
--- a/internal/core/admit/group.go
+++ b/internal/core/admit/group.go
@@ -87,11 +87,9 @@
 	waiting, running int
 	// since is when the caller was first seen.
 	since time.Duration
-	used  usage
-	// tokens is the service in seconds, as of tokensAt, that may come before the
-	// caller's requests count as surplus.
-	tokens   float64
-	tokensAt time.Duration
+	// habits holds one for each work that the caller sent.
+	habits []*habit
+	used   usage
 
 	idlePrev, idleNext *caller
 	idle               bool
@@ -111,12 +109,14 @@
 	// callers: the greatest tag that was served.
 	laneTag, callerTag float64
 	used               usage
-	n                  int
-	shares             []*share
-	callers            map[string]*caller
-	longest            heap[*flow]
-	bigAt              int
-	seq                uint64
+	// totals holds the usage by work.
+	totals  []*habit
+	n       int
+	shares  []*share
+	callers map[string]*caller
+	longest heap[*flow]
+	bigAt   int
+	seq     uint64
 }
 
 func (f *flow) pushBack(w *waiter) {
--- a/internal/core/admit/queue.go
+++ b/internal/core/admit/queue.go
@@ -123,25 +123,19 @@
 // offer admits or refuses a request of a known caller.
 func (q *Queue) offer(now time.Duration, a *account, c *caller, it Item) Verdict {
 	l := q.lane(it.Kind, it.Class, false)
-	if !q.takesUsual(now, c, l.work.mean) {
+	if !q.takesUsual(now, c, l.work) {
 		l = q.lane(it.Kind, it.Class, true)
 	}
 	s := a.share(l)
 	w := &waiter{item: it, giveUp: q.giveUp(now, it, l), deadlineAt: -1}
 	wait := q.wait(now, s, c)
-	reason := chestnutpond.Reason("")
-	victims, ok := q.room(a, l, c)
-	switch {
-	case w.giveUp >= 0 && (w.giveUp <= now || wait >= time.Duration(q.cfg.Patience*float64(w.giveUp-now))):
+	victims, reason := q.room(a, l, c)
+	if w.giveUp >= 0 && (w.giveUp <= now || wait >= time.Duration(q.cfg.Patience*float64(w.giveUp-now))) {
 		reason = chestnutpond.ReasonDeadline
-	case c.waiting >= q.callerLimit(a):
-		reason = chestnutpond.ReasonCallerLimit
-	case !ok:
-		reason = chestnutpond.ReasonQueueFull
 	}
 	if reason != "" {
 		if !l.surplus {
-			c.tokens += l.work.mean
+			c.habit(now, l.work).tokens += l.work.mean
 		}
 		return q.refuse(reason, wait)
 	}
@@ -233,13 +227,25 @@
 	for _, k := range doc.Kinds {
 		q.kinds[k.Name] = true
 	}
-	unused := func(l *lane) bool { return !q.kinds[l.work.kind] && l.work.n == 0 }
-	q.lanes = slices.DeleteFunc(q.lanes, unused)
+	q.dropKinds()
 	for name, a := range q.accounts {
-		a.shares = slices.DeleteFunc(a.shares, func(s *share) bool { return unused(s.lane) })
 		if !keep[name] {
 			a.limit = 0
 			q.dropAccount(a)
 		}
 	}
 }
+
+// dropKinds forgets what is known of kinds that are not in the document any more
+// and of which nothing waits.
+func (q *Queue) dropKinds() {
+	unused := func(w *work) bool { return !q.kinds[w.kind] && w.n == 0 }
+	q.lanes = slices.DeleteFunc(q.lanes, func(l *lane) bool { return unused(l.work) })
+	for _, a := range q.accounts {
+		a.shares = slices.DeleteFunc(a.shares, func(s *share) bool { return unused(s.lane.work) })
+		a.totals = slices.DeleteFunc(a.totals, func(h *habit) bool { return unused(h.work) })
+		for _, c := range a.callers {
+			c.habits = slices.DeleteFunc(c.habits, func(h *habit) bool { return unused(h.work) })
+		}
+	}
+}
--- a/internal/core/admit/usual.go
+++ b/internal/core/admit/usual.go
@@ -46,35 +46,73 @@
 	return u.fade(now, q.cfg.UsualTime) / (over * (1 - math.Exp(-age.Seconds()/over)))
 }
 
-// allowance returns the service per second that is not surplus for the caller.
-func (q *Queue) allowance(now time.Duration, c *caller) float64 {
-	even := q.usual(now, &c.account.used) / float64(max(len(c.account.callers), 1))
+// habit is what a caller usually sends of one work.
+type habit struct {
+	work *work
+	used usage
+	// tokens is the service in seconds, as of tokensAt, that may come before the
+	// caller's requests of the work count as surplus.
+	tokens   float64
+	tokensAt time.Duration
+}
+
+// habit returns the caller's habit of the work. A new one has one request free.
+func (c *caller) habit(now time.Duration, w *work) *habit {
+	for _, h := range c.habits {
+		if h.work == w {
+			return h
+		}
+	}
+	h := &habit{work: w, used: usage{at: now}, tokens: w.mean, tokensAt: now}
+	c.habits = append(c.habits, h)
+	return h
+}
+
+// total returns the account's usage of the work.
+func (a *account) total(w *work) *usage {
+	for _, h := range a.totals {
+		if h.work == w {
+			return &h.used
+		}
+	}
+	h := &habit{work: w}
+	a.totals = append(a.totals, h)
+	return &h.used
+}
+
+// allowance returns the service per second that is not surplus for the caller. For
+// a work that it seldom or never sent, that is an even part of all that it usually
+// gets.
+func (q *Queue) allowance(now time.Duration, c *caller, h *habit) float64 {
+	even := q.usual(now, c.account.total(h.work)) / float64(max(len(c.account.callers), 1))
 	known := float64(now-c.since) / float64(q.cfg.UsualTime)
-	return usualSlack*q.usual(now, &c.used) + min(floorShare+known, 1)*even
+	own := usualSlack*q.usual(now, &h.used) + min(floorShare+known, 1)*even
+	return max(own, q.usual(now, &c.used)/float64(len(c.habits)))
 }
 
-// takesUsual reports whether a request of that length is within what its caller
-// usually gets, and takes it from the allowance. The last one may overdraw it, so
-// that a small caller's long request is not surplus. While nothing waits, nothing
-// is surplus.
-func (q *Queue) takesUsual(now time.Duration, c *caller, service float64) bool {
-	allow := q.allowance(now, c)
-	c.tokens = min(c.tokens+allow*(now-c.tokensAt).Seconds(), allow*burst.Seconds()+q.mean)
-	c.tokensAt = now
-	if c.tokens <= 0 {
+// takesUsual reports whether a request of the work is within what its caller
+// usually sends of it, and takes it from the allowance. The last one may overdraw
+// it, so that a small caller's long request is not surplus. While nothing waits,
+// nothing is surplus.
+func (q *Queue) takesUsual(now time.Duration, c *caller, w *work) bool {
+	h := c.habit(now, w)
+	allow := q.allowance(now, c, h)
+	h.tokens = min(h.tokens+allow*(now-h.tokensAt).Seconds(), allow*burst.Seconds()+w.mean)
+	h.tokensAt = now
+	if h.tokens <= 0 {
 		return q.n == 0
 	}
-	c.tokens -= service
+	h.tokens -= w.mean
 	return true
 }
 
 // use counts service towards what is usual.
 func (q *Queue) use(now time.Duration, w *waiter, service float64) {
-	if w.flow.share.lane.surplus {
+	l, c := w.flow.share.lane, w.flow.caller
+	if l.surplus {
 		service *= surplusWeight
 	}
-	c := w.flow.caller
-	for _, u := range []*usage{&c.used, &c.account.used, &q.used} {
+	for _, u := range []*usage{&c.habit(now, l.work).used, &c.used, c.account.total(l.work), &c.account.used, &q.used} {
 		u.fade(now, q.cfg.UsualTime)
 		u.sum = max(u.sum+service, 0)
 	}
--- a/internal/test/load/rows.go
+++ b/internal/test/load/rows.go
@@ -47,6 +47,9 @@
 	faults func(w *world, at func(share float64) time.Duration)
 	// flood, greedy and bad say which aims apply.
 	flood, greedy, bad bool
+	// known means that small callers of the ordinary day flood the most urgent
+	// kind; their requests of it are not other work.
+	known bool
 }
 
 func (w *world) dayLevel(now time.Duration) float64 {
@@ -75,6 +78,19 @@
 	}
 }
 
+// knownFlood sends the most urgent kind from all small callers of the ordinary day.
+// Their ordinary requests of that kind are a part of the flood.
+func knownFlood(w *world, from, to time.Duration) []*stream {
+	k := &w.dep.kinds[0]
+	return []*stream{{
+		from: from, to: to, peak: floodFactor * w.capacity(k.mean.Seconds()),
+		draw: func(r *rand.Rand, q *request) {
+			q.account, q.group, q.kind = r.IntN(len(w.dep.weights)), extra, k
+			q.caller = smallNames[r.IntN(smallCallers)]
+		},
+	}}
+}
+
 var floodNames = func() []string {
 	var names []string
 	for i := range floodCallers {
@@ -83,6 +99,14 @@
 	return names
 }()
 
+var smallNames = func() []string {
+	var names []string
+	for i := range smallCallers {
+		names = append(names, fmt.Sprintf("small-%d", i))
+	}
+	return names
+}()
+
 // greedy adds three callers, in one account or in three.
 func greedy(accounts int) func(w *world, from, to time.Duration) []*stream {
 	return func(w *world, from, to time.Duration) []*stream {
@@ -129,6 +153,7 @@
 	{name: "flood, least urgent", load: flood(true, 4), flood: true},
 	{name: "flood, most urgent, one account", load: flood(false, 1), flood: true},
 	{name: "flood, most urgent, all accounts", load: flood(false, 4), flood: true},
+	{name: "flood, most urgent, known callers", load: knownFlood, flood: true, known: true},
 	{name: "greedy, one account", load: greedy(1), greedy: true},
 	{name: "greedy, three accounts", load: greedy(3), greedy: true},
 	{name: "one bad upstream", faults: bad(1), bad: true},
