Tests for distance, slow start and retries of routing

Cause: the order of distances, the byte budget with answers, the slow start and the retries of a failing kind had no test.

--- a/internal/core/route/router_test.go
+++ b/internal/core/route/router_test.go
@@ -121,3 +121,76 @@
 	r.PutTarget(4*time.Second, far)
 	assert.Assert(t, !r.CanServe(time.Minute, "x"))
 }
+
+// Guards against work that leaves its zone or its region while there is room in it,
+// and against bytes to other regions beyond the budget.
+func TestPickGoesByDistance(t *testing.T) {
+	r := New(Config{Region: "r1", Zone: "z1", Seed: 1, FarBytesPerSecond: 1000})
+	for _, in := range []Target{
+		{Name: "far", Region: "r2", Zone: "z1"}, {Name: "region", Region: "r1", Zone: "z2"}, {Name: "zone", Region: "r1", Zone: "z1"},
+	} {
+		in.Slots, in.Kinds, in.Up = 1, []string{"x"}, true
+		r.PutTarget(0, in)
+	}
+	for _, want := range []string{"zone", "region", "far"} {
+		name, ok := r.Pick(0, Query{Kind: "x", Bytes: 600})
+		assert.Assert(t, ok)
+		assert.Equal(t, name, want)
+		r.Begin(0, name, "x", 600)
+	}
+	// The answer of 1,400 bytes takes the budget down to -1,000.
+	r.End(0, "far", "x", ResultAnswered, 0, 1400, 0)
+	_, ok := r.Pick(1500*time.Millisecond, Query{Kind: "x", Bytes: 600})
+	assert.Assert(t, !ok)
+	_, ok = r.Pick(1900*time.Millisecond, Query{Kind: "x", Bytes: 600})
+	assert.Assert(t, ok)
+	_, ok = r.Pick(2*time.Second, Query{Kind: "x", Bytes: 600, Exclude: []string{"far"}})
+	assert.Assert(t, !ok)
+}
+
+// A new target among known ones must not get all its slots used at once.
+func TestSlowStart(t *testing.T) {
+	r := newTestRouter(1)
+	for range 8 {
+		r.Begin(0, "t0", "x", 0)
+	}
+	start := time.Minute
+	r.PutTarget(start, Target{Name: "new", Region: "r1", Zone: "z1", Slots: 8, Kinds: []string{"x"}, Up: true})
+	open := 0
+	for i, want := range []int{1, 3, 5, 7, 8} {
+		now := start + time.Duration(i)*2500*time.Millisecond
+		for r.CanServe(now, "x") {
+			r.Begin(now, "new", "x", 0)
+			open++
+		}
+		assert.Equal(t, open, want, "after %v", now-start)
+	}
+}
+
+// Retries must not add to the load of a kind that fails on every target, while a
+// refused attempt may go elsewhere.
+func TestRetryOfFailingKind(t *testing.T) {
+	r := newTestRouter(4)
+	for i := range 20 {
+		name := fmt.Sprintf("t%d", i%4)
+		r.Begin(0, name, "x", 0)
+		r.End(0, name, "x", ResultFailed, 0, 0, 0)
+		r.Begin(0, name, "y", 0)
+		r.End(0, name, "y", ResultAnswered, 0, 0, 0)
+	}
+	for name, c := range map[string]struct {
+		a    Attempt
+		want bool
+	}{
+		"failing kind":          {Attempt{Number: 1, Kind: "x", Idempotent: true}, false},
+		"failing kind, refused": {Attempt{Number: 1, Kind: "x", ProvenNotRun: true}, true},
+		"other kind":            {Attempt{Number: 1, Kind: "y", Idempotent: true}, true},
+		"unknown kind":          {Attempt{Number: 1, Kind: "z", Idempotent: true}, false},
+		"third attempt":         {Attempt{Number: 3, Kind: "y", Idempotent: true}, false},
+		"no time left":          {Attempt{Number: 1, Kind: "y", Idempotent: true, Deadline: 5 * time.Millisecond}, false},
+		"may have run":          {Attempt{Number: 1, Kind: "y"}, false},
+	} {
+		_, ok := r.Retry(0, c.a)
+		assert.Equal(t, ok, c.want, name)
+	}
+}
