Answer agents only for records that concern them

Cause: every record of the log woke every Announce stream, and each got an answer of about 130 bytes. Ruled out: longer heartbeat intervals; the answers did not come from heartbeats. Change: a document or a replaced state wakes all streams, the end of an attempt those of its agents, other records none.

--- a/internal/node/peers/group.go
+++ b/internal/node/peers/group.go
@@ -76,7 +76,9 @@
 	pollers map[string]*poller
 	// notices are the channels of the Announce streams, signalled when the
 	// stream has something to send.
-	notices  map[*session]struct{}
+	notices map[*session]struct{}
+	// streams are the newest Announce streams by the agent's name.
+	streams  map[string]*session
 	draining bool
 }
 
@@ -90,6 +92,7 @@
 		changed: make(chan struct{}),
 		pollers: make(map[string]*poller),
 		notices: make(map[*session]struct{}),
+		streams: make(map[string]*session),
 	}
 }
 
@@ -178,11 +181,33 @@
 	g.noticeAll()
 }
 
-// LogChanged tells the agents' streams that the fold moved.
-func (g *Group) LogChanged(ledger.Change) {
+// LogChanged wakes the Announce streams that have something to send: all after
+// a new document or a replaced state, and those of a job's agents after its
+// attempt was over. Other records come up to 60 times a second and tell agents
+// nothing; an answer to each would exceed the 4 KB/s of a node.
+func (g *Group) LogChanged(c ledger.Change) {
+	switch c.Kind {
+	case ledger.ChangeNone, ledger.ChangeConfig:
+		g.mu.Lock()
+		defer g.mu.Unlock()
+		g.noticeAll()
+	case ledger.ChangeStopped, ledger.ChangeEnded:
+		g.noticeJob(c.Job)
+	}
+}
+
+// noticeJob wakes the streams of the agents that the job's last attempt was
+// placed on.
+func (g *Group) noticeJob(id chestnutpond.JobID) {
+	var job ledger.Job
+	g.cfg.Tail.View(func(st *ledger.State) { job, _ = st.Job(id) })
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.noticeAll()
+	for _, p := range job.Placements {
+		if s, ok := g.streams[p.Worker]; ok {
+			s.notice()
+		}
+	}
 }
 
 // noticeAll wakes the Announce streams. The caller holds mu.
--- a/internal/node/peers/home.go
+++ b/internal/node/peers/home.go
@@ -100,11 +100,22 @@
 		s.group.heartbeat(s.name)
 		return true
 	}
-	s.name = m.GetName()
+	s.register(m.GetName())
 	s.group.hear(m)
 	return true
 }
 
+// register makes this the stream of the agent.
+func (s *session) register(name string) {
+	if s.name == name {
+		return
+	}
+	s.name = name
+	s.group.mu.Lock()
+	defer s.group.mu.Unlock()
+	s.group.streams[name] = s
+}
+
 func (g *Group) heartbeat(name string) {
 	now := g.Now()
 	g.mu.Lock()
@@ -230,5 +241,8 @@
 	g := s.group
 	g.mu.Lock()
 	delete(g.notices, s)
+	if g.streams[s.name] == s {
+		delete(g.streams, s.name)
+	}
 	g.mu.Unlock()
 }
--- /dev/null
+++ b/internal/node/peers/notice_test.go
@@ -0,0 +1,113 @@
+package peers
+
+import (
+	"context"
+	"io"
+	"log/slog"
+	"testing"
+	"time"
+
+	"google.golang.org/grpc"
+	"gotest.tools/v3/assert"
+
+	"github.com/chestnutpond/chestnutpond"
+	"github.com/chestnutpond/chestnutpond/internal/core/fleet"
+	"github.com/chestnutpond/chestnutpond/internal/core/ledger"
+	"github.com/chestnutpond/chestnutpond/internal/node/tail"
+	"github.com/chestnutpond/chestnutpond/internal/obs/events"
+	"github.com/chestnutpond/chestnutpond/internal/obs/stats"
+	"github.com/chestnutpond/chestnutpond/internal/test/stand"
+	"github.com/chestnutpond/chestnutpond/internal/wire/inner"
+)
+
+type deaf struct{}
+
+func (deaf) AgentChanged(fleet.Row) {}
+func (deaf) AgentForgotten(string)  {}
+
+// fakeStream is the entry's side of an Announce stream.
+type fakeStream struct {
+	grpc.ServerStream
+
+	ctx      context.Context
+	requests chan *inner.AnnounceRequest
+	replies  chan *inner.AnnounceReply
+}
+
+func (s *fakeStream) Context() context.Context { return s.ctx }
+
+func (s *fakeStream) Recv() (*inner.AnnounceRequest, error) {
+	select {
+	case req := <-s.requests:
+		return req, nil
+	case <-s.ctx.Done():
+		return nil, io.EOF
+	}
+}
+
+func (s *fakeStream) Send(reply *inner.AnnounceReply) error {
+	s.replies <- reply
+	return nil
+}
+
+// next returns the next reply.
+func (s *fakeStream) next(t *testing.T) *inner.AnnounceReply {
+	t.Helper()
+	select {
+	case reply := <-s.replies:
+		return reply
+	case <-time.After(time.Minute):
+		t.Fatal("no reply")
+		return nil
+	}
+}
+
+// TestNotices guards against an answer to every agent for every record of the
+// log: only a document concerns all agents, and the end of an attempt those
+// that it ran on.
+func TestNotices(t *testing.T) {
+	ctx, cancel := context.WithCancel(t.Context())
+	defer cancel()
+	var g *Group
+	ring := events.New(events.Config{Process: "entry-1", Incarnation: 1})
+	origin := ledger.Origin{Process: "entry-1", Incarnation: 1}
+	records := tail.New(tail.Config{
+		Log: stand.NewLog("s"), Origin: origin, Events: ring, Logger: slog.New(slog.DiscardHandler), Metrics: stats.New(),
+		Sync:      func(context.Context) ([]byte, error) { return nil, io.EOF },
+		OnChange:  func(c ledger.Change) { g.LogChanged(c) },
+		OnReplace: func() {},
+	})
+	g = New(Config{
+		Self: fleet.Peer{Name: "entry-1", Incarnation: 1, Address: "127.0.0.1:1"}, Tail: records,
+		Listener: deaf{}, Events: ring, Logger: slog.New(slog.DiscardHandler),
+	})
+	go func() { _ = records.Run(ctx) }()
+	apply := func(body ledger.Body) {
+		t.Helper()
+		actx, stop := context.WithTimeout(ctx, time.Minute)
+		defer stop()
+		assert.NilError(t, records.Append(actx, body))
+	}
+	streams := map[string]*fakeStream{}
+	for _, name := range []string{"a", "b"} {
+		s := &fakeStream{ctx: ctx, requests: make(chan *inner.AnnounceRequest), replies: make(chan *inner.AnnounceReply, 100)}
+		streams[name] = s
+		go func() { _ = g.Announce(s) }()
+		s.requests <- &inner.AnnounceRequest{Member: &inner.Member{Name: name, Incarnation: 1, Sequence: 1, Tasks: []*inner.Task{
+			{Job: "j", Attempt: 1, State: inner.TaskState_TASK_STATE_COMPLETED},
+		}}}
+		s.next(t)
+	}
+	apply(ledger.ClaimTerm{Region: "r", Number: 1})
+	apply(ledger.AcceptJob{Spec: chestnutpond.JobSpec{ID: "j", Region: "r"}})
+	apply(ledger.StartJob{Job: "j", Attempt: 1, Region: "r", Term: 1, Placements: []chestnutpond.Placement{{Worker: "a"}}})
+	for _, key := range []string{"k1", "k2", "k3"} {
+		apply(ledger.Intents{Intents: []ledger.IntentID{{Key: key, ID: "1"}}})
+	}
+	apply(ledger.EndJob{Job: "j", Attempt: 1, Region: "r", Term: 1, State: chestnutpond.JobCompleted})
+	assert.DeepEqual(t, streams["a"].next(t).GetRelease(), []string{"j.1.0"})
+	apply(ledger.Publish{ID: "p", Service: "s", Document: []byte("d")})
+	for name, s := range streams {
+		assert.Equal(t, s.next(t).GetConfigVersion(), int64(1), "stream of %s", name)
+	}
+}
--- a/internal/test/scale/process_test.go
+++ b/internal/test/scale/process_test.go
@@ -93,7 +93,7 @@
 		p.end(syscall.SIGKILL)
 		if t.Failed() {
 			text := p.text()
-			t.Logf("end of the output of %s:\n%s", name, text[max(0, len(text)-2000):])
+			t.Logf("end of the output of %s:\n%s", name, text[max(0, len(text)-500):])
 		}
 	})
 	return p
