Metrics in the test of notices

Change: the test passes a registry.

Before: a nil registry panicked. After: go test -race -count=3 passes.

--- a/internal/node/peers/notice_test.go
+++ b/internal/node/peers/notice_test.go
@@ -79,7 +79,7 @@
 	})
 	g = New(Config{
 		Self: fleet.Peer{Name: "entry-1", Incarnation: 1, Address: "127.0.0.1:1"}, Tail: records,
-		Listener: deaf{}, Events: ring, Logger: slog.New(slog.DiscardHandler),
+		Listener: deaf{}, Events: ring, Logger: slog.New(slog.DiscardHandler), Metrics: stats.New(),
 	})
 	go func() { _ = records.Run(ctx) }()
 	apply := func(body ledger.Body) {
