Time line test waits for the noted start

Cause: under load the cancellation came between the agent's row and the scheduler's note of the start, and was then rightly the effect of an earlier event.

Ruled out: accepting both orders (the check would be weaker).

Change: the test cancels after the scheduler's started event is in the time line.

--- a/internal/node/entry/timeln_test.go
+++ b/internal/node/entry/timeln_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"net/http"
 	"net/url"
+	"slices"
 	"testing"
 	"time"
 
@@ -33,7 +34,13 @@
 	borrower := w.send(jobCall(stockToken, "b", job8))
 	w.settle("a running job", func() bool { return w.job(stockToken, borrower.ID).State == chestnutpond.JobRunning })
 	claim := w.send(jobCall(salesToken, "c", job8))
-	w.settle("a running claim", func() bool { return w.job(salesToken, claim.ID).State == chestnutpond.JobRunning })
+	// The rows show the run before the scheduler notes it; the cancellation must
+	// come after the note to be its effect.
+	w.settle("a noted start", func() bool {
+		return slices.ContainsFunc(w.timeline(url.Values{"job": {claim.ID}}), func(e eventView) bool {
+			return e.Process == "entry-1" && e.Kind == chestnutpond.EventStarted
+		})
+	})
 	w.send(call{method: "DELETE", path: "/v1/jobs/" + claim.ID, token: salesToken})
 	w.settle("a cancelled job", func() bool { return w.job(salesToken, claim.ID).State == chestnutpond.JobCancelled })
 
