Harness: race detector in the programs, panics fail a test

Cause: a data race or panic in a process that a test starts went unseen unless the test failed for another reason.

Change: with go test -race the programs are built with the detector, and each process's output is searched for reports. checkPublications knows rejected publications, which are not in force.

Before: output was shown on failure only.

--- a/internal/test/proof/check_test.go
+++ b/internal/test/proof/check_test.go
@@ -278,7 +278,7 @@
 		return []any{next}
 	case p.outcome == chestnutpond.OutcomeLost && now.version > p.base && p.version > p.base && p.version <= now.version:
 		return []any{now}
-	case p.outcome == chestnutpond.OutcomeNotRun:
+	case p.outcome == chestnutpond.OutcomeNotRun, p.outcome == chestnutpond.OutcomeRejected:
 		return []any{now}
 	case p.outcome == chestnutpond.OutcomeUnknown && now.version == p.base:
 		return []any{now, next}
--- a/internal/test/proof/checkers_test.go
+++ b/internal/test/proof/checkers_test.go
@@ -106,6 +106,10 @@
 		"loser in force":                     {err: publications(document{1, "a"}, published("b", 0, 1), lost("a", 0, 1)), want: "no order"},
 		"published with a version too high":  {err: publications(document{2, "a"}, published("a", 0, 2)), want: "no order"},
 		"unknown in force over a later base": {err: publications(document{1, "a"}, unknown("a", 0), published("b", 0, 1)), want: "no order"},
+		"rejected and in force": {
+			err:  publications(document{1, "a"}, publication{id: "a", outcome: chestnutpond.OutcomeRejected}),
+			want: "no order",
+		},
 		"not run and in force": {
 			err:  publications(document{1, "a"}, publication{id: "a", outcome: chestnutpond.OutcomeNotRun}),
 			want: "no order",
--- a/internal/test/proof/process_test.go
+++ b/internal/test/proof/process_test.go
@@ -33,8 +33,8 @@
 
 // build builds the programs once in a test run, and only if a test needs them.
 var build = sync.OnceValue(func() error {
-	command := exec.Command("go", "build", "-o", programs+string(filepath.Separator),
-		"../../../cmd/chestnutpond", "../../../cmd/standins")
+	args := append([]string{"build", "-o", programs + string(filepath.Separator)}, raceFlags...)
+	command := exec.Command("go", append(args, "../../../cmd/chestnutpond", "../../../cmd/standins")...)
 	if out, err := command.CombinedOutput(); err != nil {
 		return fmt.Errorf("%w: %s", err, out)
 	}
@@ -86,6 +86,9 @@
 	t.Cleanup(func() {
 		p.signal(syscall.SIGKILL)
 		<-p.done
+		for _, fault := range []string{"DATA RACE", "panic: "} {
+			assert.Check(t, !strings.Contains(p.text(), fault), "%s: %s", name, fault)
+		}
 		if t.Failed() {
 			t.Logf("last lines of %s:\n%s", name, p.tail())
 		}
