--- a/internal/node/peers/group.go
+++ b/internal/node/peers/group.go
@@ -12,6 +12,7 @@
 	"github.com/chestnutpond/chestnutpond/internal/core/fleet"
 	"github.com/chestnutpond/chestnutpond/internal/core/ledger"
 	"github.com/chestnutpond/chestnutpond/internal/node/tail"
+	"github.com/chestnutpond/chestnutpond/internal/obs/stats"
 	"github.com/chestnutpond/chestnutpond/internal/wire/inner"
 )
 
@@ -24,23 +25,32 @@
 	// before its peer counts as lost.
 	exchangeTimeout = exchangeWait + time.Second
 	exchangeRetry   = 300 * time.Millisecond
-	expireEvery     = 200 * time.Millisecond
-	// vouchLimit is how long an entry that reads no log and hears no majority of
-	// the known entries still answers its agents. The scheduler of a region
-	// counts on it before it restarts a gang that it cannot reach.
-	vouchLimit = 60 * time.Second
-	// forgetAfter is how long a lost agent stays in the table.
+	// exchangeRetryLate is the pause once an entry has not answered for
+	// retrySoonFor: most such addresses belong to hosts that were replaced.
+	exchangeRetryLate = 3 * time.Second
+	retrySoonFor      = 30 * time.Second
+	expireEvery       = 200 * time.Millisecond
+	// forgetAfter is how long a lost agent or entry stays in the table.
 	forgetAfter = 2 * time.Hour
+	// followFor is how long the address of an entry is tried without an answer,
+	// unless it is in the settings. Hosts of entries are replaced at any time, so
+	// without it the known addresses would reach addressLimit.
+	followFor = 10 * time.Minute
 	// addressLimit bounds the known addresses of entries.
 	addressLimit = 256
 )
 
+// VouchLimit is how long an entry that reads no log and hears no majority of the
+// known entries still answers its agents. The scheduler of a region counts on it
+// before it restarts a gang that it cannot reach.
+const VouchLimit = 60 * time.Second
+
 // Dialer gives connections to other processes.
 type Dialer interface {
 	// Get returns a connection for one call and the function that ends the call.
 	Get(address string) (grpc.ClientConnInterface, func(), error)
-	// Replace closes the connection to address.
-	Replace(address string)
+	// Replace closes a connection that Get returned for the address.
+	Replace(address string, conn grpc.ClientConnInterface)
 }
 
 // Listener hears about changed rows. Calls hold no lock of the group and come
@@ -63,12 +73,14 @@
 	Listener Listener
 	Events   chestnutpond.EventSink
 	Logger   *slog.Logger
+	Metrics  *stats.Registry
 }
 
 // Group is the membership of one entry.
 type Group struct {
-	cfg   Config
-	start time.Time
+	cfg    Config
+	start  time.Time
+	meters *meters
 
 	// mu guards the fields below. No other lock is taken under it.
 	mu    sync.Mutex
@@ -80,10 +92,14 @@
 	pollers map[string]*poller
 	// notices are the channels of the Announce streams, signalled when the
 	// stream has something to send.
-	notices  map[*session]struct{}
+	notices map[*session]struct{}
+	// streams are the newest Announce streams by the agent's name.
+	streams  map[string]*session
 	draining bool
 	// cutSince is since when this entry is cut off; zero while it is not.
 	cutSince time.Duration
+	// running is the context of Run; nil before it.
+	running context.Context
 }
 
 // New returns a group that knows only itself.
@@ -91,11 +107,13 @@
 	return &Group{
 		cfg:     cfg,
 		start:   time.Now(),
+		meters:  newMeters(cfg.Metrics),
 		table:   fleet.New(fleet.Config{Self: cfg.Self.Name}),
 		peers:   fleet.NewPeers(fleet.PeersConfig{Self: cfg.Self, LostAfter: peerLost}),
 		changed: make(chan struct{}),
 		pollers: make(map[string]*poller),
 		notices: make(map[*session]struct{}),
+		streams: make(map[string]*session),
 	}
 }
 
@@ -104,8 +122,11 @@
 
 // Run polls the other entries and expires silent agents until ctx ends.
 func (g *Group) Run(ctx context.Context) error {
+	g.mu.Lock()
+	g.running = ctx
+	g.mu.Unlock()
 	for _, address := range g.cfg.Entries {
-		g.follow(ctx, address)
+		g.follow(address)
 	}
 	ticker := time.NewTicker(expireEvery)
 	defer ticker.Stop()
@@ -176,19 +197,43 @@
 	return g.peers.Rank(region)
 }
 
-// Drain makes the agents look for another home.
+// Drain makes the agents look for another home, and tells the other entries that
+// this one leaves.
 func (g *Group) Drain() {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.draining = true
 	g.noticeAll()
+	g.bump()
+}
+
+// LogChanged wakes the Announce streams that have something to send: all after
+// a new document or a replaced state, and those of a job's agents after its
+// attempt was over. Other records come up to 60 times a second and tell agents
+// nothing; an answer to each would exceed the 4 KB/s of a node.
+func (g *Group) LogChanged(c ledger.Change) {
+	switch c.Kind {
+	case ledger.ChangeNone, ledger.ChangeConfig:
+		g.mu.Lock()
+		defer g.mu.Unlock()
+		g.noticeAll()
+	case ledger.ChangeStopped, ledger.ChangeEnded:
+		g.noticeJob(c.Job)
+	}
 }
 
-// LogChanged tells the agents' streams that the fold moved.
-func (g *Group) LogChanged(ledger.Change) {
+// noticeJob wakes the streams of the agents that the job's last attempt was
+// placed on.
+func (g *Group) noticeJob(id chestnutpond.JobID) {
+	var job ledger.Job
+	g.cfg.Tail.View(func(st *ledger.State) { job, _ = st.Job(id) })
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.noticeAll()
+	for _, p := range job.Placements {
+		if s, ok := g.streams[p.Worker]; ok {
+			s.notice()
+		}
+	}
 }
 
 // noticeAll wakes the Announce streams. The caller holds mu.
@@ -203,7 +248,7 @@
 func (g *Group) vouches() bool {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	return g.cutSince == 0 || g.Now()-g.cutSince < vouchLimit
+	return g.cutSince == 0 || g.Now()-g.cutSince < VouchLimit
 }
 
 // noteCut tells the group whether the log is read. The caller holds mu.
@@ -216,7 +261,7 @@
 		g.cutSince = now
 		return
 	}
-	if now-g.cutSince >= vouchLimit {
+	if now-g.cutSince >= VouchLimit {
 		g.noticeAll()
 	}
 }
--- a/internal/node/peers/home.go
+++ b/internal/node/peers/home.go
@@ -68,7 +68,7 @@
 }
 
 func (s *session) serve() error {
-	asked := false
+	var asked bool
 	for {
 		select {
 		case req, ok := <-s.received:
@@ -102,6 +102,7 @@
 
 // hear takes in one message. It reports whether the agent is known.
 func (s *session) hear(req *inner.AnnounceRequest) bool {
+	s.group.meters.heartbeats.Inc(1)
 	s.version = max(s.version, req.GetConfigVersion())
 	m := req.GetMember()
 	if m == nil {
@@ -111,11 +112,22 @@
 		s.group.heartbeat(s.name)
 		return true
 	}
-	s.name = m.GetName()
+	s.register(m.GetName())
 	s.group.hear(m)
 	return true
 }
 
+// register makes this the stream of the agent.
+func (s *session) register(name string) {
+	if s.name == name {
+		return
+	}
+	s.name = name
+	s.group.mu.Lock()
+	defer s.group.mu.Unlock()
+	s.group.streams[name] = s
+}
+
 func (g *Group) heartbeat(name string) {
 	now := g.Now()
 	g.mu.Lock()
@@ -276,5 +288,8 @@
 	g := s.group
 	g.mu.Lock()
 	delete(g.notices, s)
+	if g.streams[s.name] == s {
+		delete(g.streams, s.name)
+	}
 	g.mu.Unlock()
 }
