--- a/internal/test/scale/slopes_test.go
+++ b/internal/test/scale/slopes_test.go
@@ -17,6 +17,8 @@
 var (
 	full  = flag.Bool("scale.full", false, "measure all points; the short form only checks the bounds")
 	sizes = flag.String("scale.agents", "10 50 100 200", "numbers of agents of the full form")
+	fanIn = flag.Bool("scale.fan-in", false, "measure the number of entries and the size of gangs, too")
+	parts = flag.String("scale.parts", "idle urgent churn doc510", "parts of the full form")
 )
 
 // The bounds that section 1.6 of the design page sets for a node.
@@ -37,6 +39,10 @@
 // against control traffic of an idle agent that outgrows its rate.
 func TestSlopes(t *testing.T) {
 	if *full {
+		if *fanIn {
+			t.Run("entries", measureEntries)
+			t.Run("gangs", measureGangs)
+		}
 		for text := range strings.FieldsSeq(*sizes) {
 			t.Run("agents="+text, func(t *testing.T) { measure(t, int(number(text))) })
 		}
@@ -160,14 +166,22 @@
 
 func measure(t *testing.T, n int) {
 	c := newCluster(t, layout{entries: entryCount, agents: n, accelerators: 8, zones: len(places)})
-	c.window(settleTime, nil)
-	c.window(fullWindow, nil).print("idle")
-	c.inForce("small", 4, 5)
-	c.urgent(30, 8)
-	c.window(settleTime, nil)
-	c.churn(n)
-	c.window(settleTime, nil)
-	c.window(10*time.Second, func() { c.inForce("510", 510, 10) }).print("doc510")
+	run := map[string]func(){
+		"idle": func() {
+			c.window(fullWindow, nil).print("idle")
+			c.inForce("small", 4, 5)
+		},
+		"urgent": func() { c.urgent(30, 8) },
+		"churn":  func() { c.churn(n) },
+		"doc510": func() {
+			c.window(10*time.Second, func() { c.inForce("510", 510, 10) }).print("doc510")
+		},
+	}
+	for part := range strings.FieldsSeq(*parts) {
+		assert.Assert(t, run[part] != nil, "no part %q", part)
+		c.window(settleTime, nil)
+		run[part]()
+	}
 }
 
 // inForce publishes several times and prints how long after the answer the
