Shorter messages: packed documents, peers named once

Every idle exchange among entries named all entries. Ruled out: gRPC compression, which packs for each stream anew and also short replies; smaller read buffers and shared write buffers of inner connections, which left an entry with 200 idle agents at 29.6 MB and were taken out again. Change: a document is packed once a version and sent so if that is shorter. An exchange names the peers only when their digest changed.

--- a/internal/node/agent/announce.go
+++ b/internal/node/agent/announce.go
@@ -12,6 +12,7 @@
 	"github.com/chestnutpond/chestnutpond"
 	"github.com/chestnutpond/chestnutpond/internal/core/home"
 	"github.com/chestnutpond/chestnutpond/internal/wire/inner"
+	"github.com/chestnutpond/chestnutpond/internal/wire/pack"
 )
 
 const (
@@ -35,6 +36,9 @@
 	// starts a gang again of which it can reach no member.
 	isolationLimit = 20 * time.Second
 	isolationSlack = 5 * time.Second
+	// documentLimit bounds an unpacked document, in bytes. Entries refuse larger
+	// ones.
+	documentLimit = 1 << 20
 )
 
 // announcer keeps one Announce stream to the home entry.
@@ -186,13 +190,27 @@
 		if err != nil {
 			return
 		}
+		document, err := documentOf(reply)
+		if err != nil {
+			// The next stream gets the document again.
+			l.announcer.agent.cfg.Log.Error("agent: document not readable", "entry", l.entry, "error", err)
+			return
+		}
 		l.answered = true
-		l.watchdog.Reset(l.announcer.take(l.entry, reply))
+		l.watchdog.Reset(l.announcer.take(l.entry, reply, document))
+	}
+}
+
+// documentOf returns the document of a reply; it is empty if there is none.
+func documentOf(reply *inner.AnnounceReply) ([]byte, error) {
+	if packed := reply.GetPackedDocument(); len(packed) > 0 {
+		return pack.Unpack(packed, documentLimit)
 	}
+	return reply.GetDocument(), nil
 }
 
 // take applies an answer and returns how long the stream may be silent now.
-func (n *announcer) take(entry string, reply *inner.AnnounceReply) time.Duration {
+func (n *announcer) take(entry string, reply *inner.AnnounceReply, document []byte) time.Duration {
 	n.agent.gangs.Release(reply.GetRelease(), time.Now())
 	n.mu.Lock()
 	defer n.mu.Unlock()
@@ -202,8 +220,8 @@
 	if d := reply.GetHeartbeat().AsDuration(); d > 0 {
 		n.interval = min(max(d, minInterval), maxInterval)
 	}
-	if reply.GetConfigVersion() > n.version && len(reply.GetDocument()) > 0 {
-		n.version, n.doc = reply.GetConfigVersion(), reply.GetDocument()
+	if reply.GetConfigVersion() > n.version && len(document) > 0 {
+		n.version, n.doc = reply.GetConfigVersion(), document
 		n.agent.record(chestnutpond.Event{
 			Kind: chestnutpond.EventConfigInForce, Detail: fmt.Sprintf("version %d", n.version),
 		})
--- a/internal/node/agent/announce_test.go
+++ b/internal/node/agent/announce_test.go
@@ -10,6 +10,7 @@
 
 	"github.com/chestnutpond/chestnutpond"
 	"github.com/chestnutpond/chestnutpond/internal/wire/inner"
+	"github.com/chestnutpond/chestnutpond/internal/wire/pack"
 )
 
 // Guards the agent's row after a change: it arrives within the time to gather
@@ -136,6 +137,28 @@
 	})
 }
 
+// Guards against a document that is in force unread: the agent reports the
+// version of a packed document once it has it, and leaves a stream on which it
+// cannot read one.
+func TestPackedDocument(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld(t, 1)
+		defer w.stop()
+		e := w.addEntry("entry-a")
+		packed, err := pack.Pack([]byte("four"))
+		assert.NilError(t, err)
+		e.answer(&inner.AnnounceReply{ConfigVersion: 4, PackedDocument: packed})
+		time.Sleep(3 * time.Second)
+		assert.Equal(t, string(w.agents[0].Document()), "four")
+		sequence := e.lastRow().GetSequence()
+		e.answer(&inner.AnnounceReply{ConfigVersion: 5, PackedDocument: packed[:len(packed)-1]})
+		time.Sleep(3 * time.Second)
+		assert.Equal(t, w.agents[0].ConfigVersion(), int64(4))
+		assert.Equal(t, string(w.agents[0].Document()), "four")
+		assert.Assert(t, e.lastRow().GetSequence() > sequence, "a new stream has a newer row")
+	})
+}
+
 // Guards against a worker that still runs tasks of a former incarnation while
 // the new one offers its accelerators.
 func TestRestartCleansTheWorkerFirst(t *testing.T) {
--- a/internal/node/peers/home.go
+++ b/internal/node/peers/home.go
@@ -185,6 +185,7 @@
 			reply.Release = endedTasks(row.Member, st)
 		}
 	})
+	g.documents.shorten(reply)
 	return reply
 }
 
--- a/internal/node/peers/notice_test.go
+++ b/internal/node/peers/notice_test.go
@@ -1,6 +1,7 @@
 package peers
 
 import (
+	"bytes"
 	"context"
 	"io"
 	"log/slog"
@@ -18,6 +19,7 @@
 	"github.com/chestnutpond/chestnutpond/internal/obs/stats"
 	"github.com/chestnutpond/chestnutpond/internal/test/stand"
 	"github.com/chestnutpond/chestnutpond/internal/wire/inner"
+	"github.com/chestnutpond/chestnutpond/internal/wire/pack"
 )
 
 type deaf struct{}
@@ -64,7 +66,7 @@
 
 // TestNotices guards against an answer to every agent for every record of the
 // log: only a document concerns all agents, and the end of an attempt those
-// that it ran on.
+// that it ran on. A document is sent packed if that is shorter.
 func TestNotices(t *testing.T) {
 	ctx, cancel := context.WithCancel(t.Context())
 	defer cancel()
@@ -108,6 +110,38 @@
 	assert.DeepEqual(t, streams["a"].next(t).GetRelease(), []string{"j.1.0"})
 	apply(ledger.Publish{ID: "p", Service: "s", Document: []byte("d")})
 	for name, s := range streams {
-		assert.Equal(t, s.next(t).GetConfigVersion(), int64(1), "stream of %s", name)
+		reply := s.next(t)
+		assert.Equal(t, reply.GetConfigVersion(), int64(1), "stream of %s", name)
+		assert.Equal(t, string(reply.GetDocument()), "d")
 	}
+	long := bytes.Repeat([]byte("d"), 1000)
+	apply(ledger.Publish{ID: "q", Service: "s", Base: 1, Document: long})
+	for _, s := range streams {
+		reply := s.next(t)
+		assert.Assert(t, len(reply.GetPackedDocument()) < 100 && len(reply.GetDocument()) == 0)
+		document, err := pack.Unpack(reply.GetPackedDocument(), 1000)
+		assert.NilError(t, err)
+		assert.Assert(t, bytes.Equal(document, long))
+	}
+}
+
+// TestPeersAreNamedOnce guards against an idle exchange that repeats all
+// entries, and against an entry that is never named because its answer was lost.
+func TestPeersAreNamedOnce(t *testing.T) {
+	g := New(Config{Self: fleet.Peer{Name: "entry-1", Incarnation: 1}})
+	hear := func(name string) {
+		g.peers.Heard(g.Now(), fleet.Peer{Name: name, Incarnation: 1, Address: name})
+	}
+	hear("entry-2")
+	ask := func(known uint64) *inner.ExchangeReply {
+		reply, err := g.Exchange(t.Context(), &inner.ExchangeRequest{KnownPeers: known})
+		assert.NilError(t, err)
+		return reply
+	}
+	first := ask(0)
+	assert.Equal(t, len(first.GetPeers()), 1)
+	assert.Equal(t, len(ask(0).GetPeers()), 1, "the first answer was lost")
+	assert.Equal(t, len(ask(first.GetPeersDigest()).GetPeers()), 0)
+	hear("entry-3")
+	assert.Equal(t, len(ask(first.GetPeersDigest()).GetPeers()), 2)
 }
--- a/internal/node/peers/poll.go
+++ b/internal/node/peers/poll.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"google.golang.org/protobuf/proto"
 	"google.golang.org/protobuf/types/known/durationpb"
 
@@ -17,6 +18,8 @@
 	address string
 	since   int64
 	table   int64
+	// known is the digest of the peers that the entry named last.
+	known uint64
 }
 
 // follow starts a poller for an address that has none.
@@ -59,6 +62,7 @@
 	defer cancel()
 	reply, err := inner.NewEntryClient(conn).Exchange(ectx, &inner.ExchangeRequest{
 		From: peerMessage(p.group.cfg.Self), Since: p.since, Table: p.table, Wait: durationpb.New(exchangeWait),
+		KnownPeers: p.known,
 	})
 	if err != nil {
 		if ectx.Err() != nil && ctx.Err() == nil {
@@ -69,6 +73,7 @@
 	restarted := p.table != reply.GetTable()
 	p.since = reply.GetNext()
 	p.table = reply.GetTable()
+	p.known = reply.GetPeersDigest()
 	p.group.learn(ctx, reply, restarted)
 	return true
 }
@@ -115,10 +120,10 @@
 	if waiting {
 		wait(ctx, changed, req.GetWait().AsDuration())
 	}
-	return g.exchangeReply(since), nil
+	return g.exchangeReply(since, req.GetKnownPeers()), nil
 }
 
-func (g *Group) exchangeReply(since int64) *inner.ExchangeReply {
+func (g *Group) exchangeReply(since int64, known uint64) *inner.ExchangeReply {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	rows, next := g.table.Since(since)
@@ -128,14 +133,30 @@
 	for _, row := range rows {
 		reply.Members = append(reply.Members, rowMessage(row))
 	}
+	var peers []*inner.Peer
 	for _, p := range g.peers.All() {
 		if !p.Lost {
-			reply.Peers = append(reply.Peers, peerMessage(p))
+			peers = append(peers, peerMessage(p))
 		}
 	}
+	reply.PeersDigest = digest(peers)
+	// Among 11 entries the list is most of the bytes of an idle exchange.
+	if reply.PeersDigest != known {
+		reply.Peers = peers
+	}
 	return reply
 }
 
+// digest tells lists of peers apart by their addresses; it is never 0.
+func digest(peers []*inner.Peer) uint64 {
+	d := xxhash.New()
+	for _, p := range peers {
+		// Writing to a digest never fails.
+		_, _ = d.WriteString(p.GetAddress() + " ")
+	}
+	return d.Sum64() | 1
+}
+
 // rowMessage returns the member of a row with its loss.
 func rowMessage(row fleet.Row) *inner.Member {
 	if row.Member.GetLost() == row.Lost {
