--- a/internal/node/peers/home.go
+++ b/internal/node/peers/home.go
@@ -210,6 +210,7 @@
 			reply.Over = overTasks(row.Member, st)
 		}
 	})
+	g.documents.shorten(reply)
 	return reply
 }
 
--- a/internal/node/peers/poll.go
+++ b/internal/node/peers/poll.go
@@ -5,6 +5,7 @@
 	"slices"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"google.golang.org/protobuf/proto"
 	"google.golang.org/protobuf/types/known/durationpb"
 
@@ -22,6 +23,8 @@
 	name string
 	// heard is when it answered, or when the poller was started.
 	heard time.Duration
+	// known is the digest of the peers that the entry named last.
+	known uint64
 }
 
 // follow starts a poller for an address that has none.
@@ -91,6 +94,7 @@
 	defer cancel()
 	reply, err := inner.NewEntryClient(conn).Exchange(ectx, &inner.ExchangeRequest{
 		From: peerMessage(p.group.cfg.Self), Since: p.since, Table: p.table, Wait: durationpb.New(exchangeWait),
+		KnownPeers: p.known,
 	})
 	if err != nil {
 		if ectx.Err() != nil && ctx.Err() == nil {
@@ -102,6 +106,7 @@
 	restarted := p.table != reply.GetTable()
 	p.since = reply.GetNext()
 	p.table = reply.GetTable()
+	p.known = reply.GetPeersDigest()
 	p.name = reply.GetFrom().GetName()
 	p.heard = p.group.Now()
 	p.group.learn(reply, restarted)
@@ -156,7 +161,7 @@
 	if waiting {
 		wait(ctx, changed, req.GetWait().AsDuration())
 	}
-	reply := g.exchangeReply(since)
+	reply := g.exchangeReply(since, req.GetKnownPeers())
 	size := int64(proto.Size(reply))
 	g.meters.exchangeSent.Inc(size)
 	if req.GetFrom().GetRegion() != g.cfg.Self.Region {
@@ -165,7 +170,7 @@
 	return reply, nil
 }
 
-func (g *Group) exchangeReply(since int64) *inner.ExchangeReply {
+func (g *Group) exchangeReply(since int64, known uint64) *inner.ExchangeReply {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	rows, next := g.table.Since(since)
@@ -175,14 +180,30 @@
 	for _, row := range rows {
 		reply.Members = append(reply.Members, rowMessage(row))
 	}
+	var peers []*inner.Peer
 	for _, p := range g.peers.All() {
 		if !p.Lost {
-			reply.Peers = append(reply.Peers, peerMessage(p))
+			peers = append(peers, peerMessage(p))
 		}
 	}
+	reply.PeersDigest = digest(peers)
+	// Among 11 entries the list is most of the bytes of an idle exchange.
+	if reply.PeersDigest != known {
+		reply.Peers = peers
+	}
 	return reply
 }
 
+// digest tells lists of peers apart by their addresses; it is never 0.
+func digest(peers []*inner.Peer) uint64 {
+	d := xxhash.New()
+	for _, p := range peers {
+		// Writing to a digest never fails.
+		_, _ = d.WriteString(p.GetAddress() + " ")
+	}
+	return d.Sum64() | 1
+}
+
 // rowMessage returns the member of a row with its loss.
 func rowMessage(row fleet.Row) *inner.Member {
 	if row.Member.GetLost() == row.Lost {
