--- a/internal/node/agent/fault_test.go
+++ b/internal/node/agent/fault_test.go
@@ -121,19 +121,22 @@
 	}
 }
 
-// Guards against a gang that gives up too early: one lost message, whichever it
-// is, stops nothing.
-func TestGangSurvivesOneLostMessage(t *testing.T) {
+// Guards against a gang that gives up too early: two messages of one member lost
+// in a row, whichever they are, stop nothing.
+func TestGangSurvivesLostMessages(t *testing.T) {
 	for _, mode := range []fate{requestLost, replyLost} {
 		for k := 1; k <= 20; k++ {
 			inWorld(t, fmt.Sprintf("mode %d message %d", mode, k), 8, func(t *testing.T, w *world) {
-				seen := 0
-				w.setLost(func(message) fate {
-					seen++
-					if seen == k {
-						return mode
+				seen, victim, left := 0, -1, 2
+				w.setLost(func(m message) fate {
+					if seen++; seen == k {
+						victim = m.from
 					}
-					return delivered
+					if m.from != victim || left == 0 {
+						return delivered
+					}
+					left--
+					return mode
 				})
 				w.launch(8)
 				time.Sleep(10 * time.Second)
--- a/internal/node/agent/gang_test.go
+++ b/internal/node/agent/gang_test.go
@@ -22,6 +22,7 @@
 			w.launch(n)
 			time.Sleep(200 * time.Millisecond)
 			assert.Equal(t, w.running(), n)
+			t.Log("start spread", w.partial())
 			time.Sleep(time.Minute - 2*time.Second)
 			for left := n; left >= 0; left-- {
 				assert.Equal(t, w.running(), left)
