--- a/internal/core/admit/bound.go
+++ b/internal/core/admit/bound.go
@@ -11,35 +11,42 @@
 }
 
 // room returns the flows that each have to give up their newest request before
-// one more of the caller fits, and false if there is no room for it.
-func (q *Queue) room(a *account, l *lane, c *caller) ([]*flow, bool) {
+// one more of the caller fits, and the reason if there is no room for it.
+func (q *Queue) room(a *account, l *lane, c *caller) ([]*flow, chestnutpond.Reason) {
 	var victims []*flow
-	if a.n >= a.limit {
+	if c.waiting >= q.callerLimit(a) {
+		f := c.longest()
+		if !over(f, l, c) {
+			return nil, chestnutpond.ReasonCallerLimit
+		}
+		victims = append(victims, f)
+	}
+	if len(victims) == 0 && a.n >= a.limit {
 		f := a.longest.top()
 		if !over(f, l, c) {
-			return nil, false
+			return nil, chestnutpond.ReasonQueueFull
 		}
 		victims = append(victims, f)
 	}
-	if l.n >= q.cfg.KindLimit && (len(victims) == 0 || victims[0].share.lane != l) {
-		f := l.longest.top()
+	if l.work.n >= q.cfg.KindLimit && (len(victims) == 0 || victims[0].share.lane.work != l.work) {
+		f := l.work.longest.top()
 		if !over(f, l, c) {
-			return nil, false
+			return nil, chestnutpond.ReasonQueueFull
 		}
 		victims = append(victims, f)
 	}
 	if len(victims) == 0 && q.Len() >= q.cfg.Limit {
 		if q.n == 0 {
-			return nil, false
+			return nil, chestnutpond.ReasonQueueFull
 		}
 		b := q.big.top()
 		f := b.longest.top()
 		if b == a && !over(f, l, c) || b != a && float64(b.n-1)/b.weight <= float64(a.n)/a.weight {
-			return nil, false
+			return nil, chestnutpond.ReasonQueueFull
 		}
 		victims = append(victims, f)
 	}
-	return victims, true
+	return victims, ""
 }
 
 // over reports whether the flow has to give up a request for one of the caller in
@@ -74,16 +81,17 @@
 	}
 	s.n++
 	l.n++
+	l.work.n++
 	a.n++
 	q.n++
 	c.waiting++
 	if f.n == 1 {
 		s.flows.push(f)
-		l.longest.push(f)
+		l.work.longest.push(f)
 		a.longest.push(f)
 	} else {
 		s.flows.fix(f)
-		l.longest.fix(f)
+		l.work.longest.fix(f)
 		a.longest.fix(f)
 	}
 	if s.n == 1 {
@@ -113,16 +121,17 @@
 	f.unlink(w)
 	s.n--
 	l.n--
+	l.work.n--
 	a.n--
 	q.n--
 	c.waiting--
 	if f.n == 0 {
 		s.flows.remove(f)
-		l.longest.remove(f)
+		l.work.longest.remove(f)
 		a.longest.remove(f)
 	} else {
 		s.flows.fix(f)
-		l.longest.fix(f)
+		l.work.longest.fix(f)
 		a.longest.fix(f)
 	}
 	if s.n == 0 {
@@ -169,7 +178,7 @@
 }
 
 func (q *Queue) addCaller(a *account, now time.Duration, name string) *caller {
-	c := &caller{name: name, account: a, tokens: 2 * q.mean, tokensAt: now}
+	c := &caller{name: name, account: a, since: now}
 	a.callers[name] = c
 	q.known++
 	return c
@@ -223,22 +232,20 @@
 	if class.Rank() > chestnutpond.ClassBulk.Rank() {
 		class = chestnutpond.ClassBulk
 	}
-	var twin *lane
+	var w *work
 	for _, l := range q.lanes {
-		if l.kind != kind || l.class != class {
+		if l.work.kind != kind || l.work.class != class {
 			continue
 		}
 		if l.surplus == surplus {
 			return l
 		}
-		twin = l
+		w = l.work
 	}
-	l := newLane(kind, class)
-	if twin != nil {
-		l.cost = twin.cost
-	} else {
-		l.cost = &cost{mean: q.mean}
+	if w == nil {
+		w = newWork(kind, class, q.mean)
 	}
+	l := newLane(w, surplus)
 	switch class {
 	case chestnutpond.ClassUrgent:
 		l.lead = q.cfg.UrgentLead
@@ -247,7 +254,7 @@
 	}
 	l.inner = l.lead
 	if surplus {
-		l.surplus, l.lead = true, 0
+		l.lead = 0
 		l.inner -= q.cfg.SurplusLag
 	}
 	q.lanes = append(q.lanes, l)
@@ -265,6 +272,18 @@
 	return s
 }
 
+// longest returns the flow of the caller that gives up a request first. The caller
+// has requests waiting.
+func (c *caller) longest() *flow {
+	var best *flow
+	for _, f := range c.flows {
+		if f.n > 0 && (best == nil || longer(f, best)) {
+			best = f
+		}
+	}
+	return best
+}
+
 func (c *caller) find(s *share) *flow {
 	for _, f := range c.flows {
 		if f.share == s {
@@ -279,7 +298,7 @@
 	if f := c.find(s); f != nil {
 		return f
 	}
-	f := &flow{share: s, caller: c, seq: seq, flowAt: -1, laneLongAt: -1, accountLongAt: -1}
+	f := &flow{share: s, caller: c, seq: seq, flowAt: -1, workLongAt: -1, accountLongAt: -1}
 	c.flows = append(c.flows, f)
 	return f
 }
--- a/internal/core/admit/group.go
+++ b/internal/core/admit/group.go
@@ -25,27 +25,27 @@
 	deadlineAt int
 }
 
-// cost is what is known of the service time of a kind.
-type cost struct {
+// work is one kind in one class.
+type work struct {
+	kind  string
+	class chestnutpond.Class
 	// mean is the moving average of the service time in seconds.
 	mean float64
+	n    int
+	// longest has the flow with the most requests on top.
+	longest heap[*flow]
 }
 
-// lane is one kind in one class, either what callers usually send or what goes
-// beyond it.
+// lane is the part of a work that callers usually send, or the surplus.
 type lane struct {
-	kind    string
-	class   chestnutpond.Class
+	work    *work
 	surplus bool
-	cost    *cost
 	// lead is how far ahead of its share an account may be served, in requests;
 	// inner is the same for the lane among those of an account.
 	lead, inner float64
 	n           int
 	// shares holds the accounts with requests waiting in this lane.
 	shares heap[*share]
-	// longest has the flow with the most requests on top.
-	longest heap[*flow]
 	// servable is set by Next for the length of one call.
 	servable bool
 }
@@ -58,10 +58,11 @@
 	n       int
 	flows   heap[*flow]
 	shareAt int
-	// busySince is the start of the present gap between two departures, and gap
-	// the moving average of such gaps in seconds; zero means not measured.
-	busySince time.Duration
-	gap       float64
+	// busySince is the last departure, or when the share began to wait. Waited
+	// and departures are sums over the time before that in which requests waited,
+	// in seconds; both fade with that time.
+	busySince          time.Duration
+	waited, departures float64
 }
 
 // flow is what one caller has in one share, in order of arrival.
@@ -73,7 +74,7 @@
 	seq         uint64
 	first, last *waiter
 
-	flowAt, laneLongAt, accountLongAt int
+	flowAt, workLongAt, accountLongAt int
 }
 
 // caller is one caller of an account, over all lanes.
@@ -84,11 +85,11 @@
 	flows   []*flow
 	// waiting and running count the caller's requests.
 	waiting, running int
-	used             usage
-	// tokens is the service in seconds, as of tokensAt, that may come before the
-	// caller's requests count as surplus.
-	tokens   float64
-	tokensAt time.Duration
+	// since is when the caller was first seen.
+	since time.Duration
+	// habits holds one for each work that the caller sent.
+	habits []*habit
+	used   usage
 
 	idlePrev, idleNext *caller
 	idle               bool
@@ -101,16 +102,21 @@
 	weight float64
 	limit  int
 	tag    float64
+	// lag is how far the account's surplus stands back behind the usual requests
+	// of other accounts, in seconds of service.
+	lag float64
 	// laneTag and callerTag are the virtual times of the account's lanes and
 	// callers: the greatest tag that was served.
 	laneTag, callerTag float64
 	used               usage
-	n                  int
-	shares             []*share
-	callers            map[string]*caller
-	longest            heap[*flow]
-	bigAt              int
-	seq                uint64
+	// totals holds the usage by work.
+	totals  []*habit
+	n       int
+	shares  []*share
+	callers map[string]*caller
+	longest heap[*flow]
+	bigAt   int
+	seq     uint64
 }
 
 func (f *flow) pushBack(w *waiter) {
@@ -150,21 +156,34 @@
 	f.n--
 }
 
-func newLane(kind string, class chestnutpond.Class) *lane {
-	l := &lane{kind: kind, class: class}
+func newWork(kind string, class chestnutpond.Class, mean float64) *work {
+	w := &work{kind: kind, class: class, mean: mean}
+	w.longest = heap[*flow]{less: longer, at: func(f *flow) *int { return &f.workLongAt }}
+	return w
+}
+
+func newLane(w *work, surplus bool) *lane {
+	l := &lane{work: w, surplus: surplus}
 	l.shares = heap[*share]{
 		less: func(a, b *share) bool {
-			if a.account.tag != b.account.tag {
-				return a.account.tag < b.account.tag
+			if x, y := a.turn(), b.turn(); x != y {
+				return x < y
 			}
 			return a.account.seq < b.account.seq
 		},
 		at: func(s *share) *int { return &s.shareAt },
 	}
-	l.longest = heap[*flow]{less: longer, at: func(f *flow) *int { return &f.laneLongAt }}
 	return l
 }
 
+// turn orders the accounts of a lane: by tag, and surplus stands back.
+func (s *share) turn() float64 {
+	if s.lane.surplus {
+		return s.account.tag + s.account.lag
+	}
+	return s.account.tag
+}
+
 func newAccount(name string, seq uint64) *account {
 	a := &account{name: name, callers: map[string]*caller{}, bigAt: -1, seq: seq}
 	a.longest = heap[*flow]{less: longer, at: func(f *flow) *int { return &f.accountLongAt }}
--- a/internal/core/admit/queue.go
+++ b/internal/core/admit/queue.go
@@ -52,6 +52,8 @@
 	tag float64
 	// mean is the moving average of the service time over all kinds, in seconds.
 	mean float64
+	// used is the usual service of all accounts.
+	used usage
 	// start is when the first request came; negative before.
 	start time.Duration
 	// known counts the callers in memory; idle lists those without requests,
@@ -59,6 +61,8 @@
 	known               int
 	idleFirst, idleLast *caller
 	meanWeight          float64
+	// present is the number of accounts in the document.
+	present int
 }
 
 // New returns an empty queue. Until the first SetDocument it refuses everything.
@@ -119,25 +123,19 @@
 // offer admits or refuses a request of a known caller.
 func (q *Queue) offer(now time.Duration, a *account, c *caller, it Item) Verdict {
 	l := q.lane(it.Kind, it.Class, false)
-	if !q.takesUsual(now, c, l.cost.mean) {
+	if !q.takesUsual(now, c, l.work) {
 		l = q.lane(it.Kind, it.Class, true)
 	}
 	s := a.share(l)
 	w := &waiter{item: it, giveUp: q.giveUp(now, it, l), deadlineAt: -1}
 	wait := q.wait(now, s, c)
-	reason := chestnutpond.Reason("")
-	victims, ok := q.room(a, l, c)
-	switch {
-	case w.giveUp >= 0 && (w.giveUp <= now || wait >= time.Duration(q.cfg.Patience*float64(w.giveUp-now))):
+	victims, reason := q.room(a, l, c)
+	if w.giveUp >= 0 && (w.giveUp <= now || wait >= time.Duration(q.cfg.Patience*float64(w.giveUp-now))) {
 		reason = chestnutpond.ReasonDeadline
-	case c.waiting >= q.callerLimit(a):
-		reason = chestnutpond.ReasonCallerLimit
-	case !ok:
-		reason = chestnutpond.ReasonQueueFull
 	}
 	if reason != "" {
 		if !l.surplus {
-			c.tokens += l.cost.mean
+			c.habit(now, l.work).tokens += l.work.mean
 		}
 		return q.refuse(reason, wait)
 	}
@@ -194,6 +192,7 @@
 func (q *Queue) expire(now time.Duration) {
 	for q.deadline.len() > 0 && q.deadline.top().giveUp <= now {
 		w := q.deadline.top()
+		w.flow.share.elapse(now)
 		q.detach(w)
 		w.expired = true
 		q.expired = append(q.expired, w)
@@ -210,6 +209,7 @@
 	if len(doc.Accounts) > 0 {
 		q.meanWeight = float64(sum) / float64(len(doc.Accounts))
 	}
+	q.present = len(doc.Accounts)
 	keep := map[string]bool{}
 	for _, d := range doc.Accounts {
 		keep[d.Name] = true
@@ -227,13 +227,25 @@
 	for _, k := range doc.Kinds {
 		q.kinds[k.Name] = true
 	}
-	unused := func(l *lane) bool { return !q.kinds[l.kind] && l.n == 0 }
-	q.lanes = slices.DeleteFunc(q.lanes, unused)
+	q.dropKinds()
 	for name, a := range q.accounts {
-		a.shares = slices.DeleteFunc(a.shares, func(s *share) bool { return unused(s.lane) })
 		if !keep[name] {
 			a.limit = 0
 			q.dropAccount(a)
 		}
 	}
 }
+
+// dropKinds forgets what is known of kinds that are not in the document any more
+// and of which nothing waits.
+func (q *Queue) dropKinds() {
+	unused := func(w *work) bool { return !q.kinds[w.kind] && w.n == 0 }
+	q.lanes = slices.DeleteFunc(q.lanes, func(l *lane) bool { return unused(l.work) })
+	for _, a := range q.accounts {
+		a.shares = slices.DeleteFunc(a.shares, func(s *share) bool { return unused(s.lane.work) })
+		a.totals = slices.DeleteFunc(a.totals, func(h *habit) bool { return unused(h.work) })
+		for _, c := range a.callers {
+			c.habits = slices.DeleteFunc(c.habits, func(h *habit) bool { return unused(h.work) })
+		}
+	}
+}
--- a/internal/core/admit/usual.go
+++ b/internal/core/admit/usual.go
@@ -10,13 +10,17 @@
 	// requests count as surplus.
 	usualSlack = 1.5
 	// floorShare is the part of an even share of its account's usual service that
-	// every caller has, also a new one.
-	floorShare = 0.25
+	// a new caller has. It grows to the even share over Config.UsualTime, so that
+	// the noise in a small caller's past does not make its requests surplus.
+	floorShare = 0.1
 	// burst is the time over which a caller may use its allowance at once.
-	burst = 30 * time.Second
+	burst = 2 * time.Minute
 	// surplusWeight is how much of the service of surplus requests counts towards
 	// the usual service. A flood of ten minutes must not become the usual.
-	surplusWeight = 0.1
+	surplusWeight = 0.05
+	// earnedShare is the part of its weighted share that an account usually gets
+	// when its surplus stands back fully.
+	earnedShare = 0.5
 	// learnMin is the shortest time over which usual service is averaged.
 	learnMin = time.Minute
 )
@@ -42,34 +46,86 @@
 	return u.fade(now, q.cfg.UsualTime) / (over * (1 - math.Exp(-age.Seconds()/over)))
 }
 
-// allowance returns the service per second that is not surplus for the caller.
-func (q *Queue) allowance(now time.Duration, c *caller) float64 {
-	even := q.usual(now, &c.account.used) / float64(max(len(c.account.callers), 1))
-	return usualSlack*q.usual(now, &c.used) + floorShare*even
+// habit is what a caller usually sends of one work.
+type habit struct {
+	work *work
+	used usage
+	// tokens is the service in seconds, as of tokensAt, that may come before the
+	// caller's requests of the work count as surplus.
+	tokens   float64
+	tokensAt time.Duration
 }
 
-// takesUsual reports whether a request of that length is within what its caller
-// usually gets, and takes it from the allowance. While nothing waits, everything
-// is.
-func (q *Queue) takesUsual(now time.Duration, c *caller, service float64) bool {
-	allow := q.allowance(now, c)
-	c.tokens = min(c.tokens+allow*(now-c.tokensAt).Seconds(), allow*burst.Seconds()+2*q.mean)
-	c.tokensAt = now
-	if c.tokens < service && q.n > 0 {
-		return false
+// habit returns the caller's habit of the work. A new one has one request free.
+func (c *caller) habit(now time.Duration, w *work) *habit {
+	for _, h := range c.habits {
+		if h.work == w {
+			return h
+		}
 	}
-	c.tokens = max(c.tokens-service, 0)
+	h := &habit{work: w, used: usage{at: now}, tokens: w.mean, tokensAt: now}
+	c.habits = append(c.habits, h)
+	return h
+}
+
+// total returns the account's usage of the work.
+func (a *account) total(w *work) *usage {
+	for _, h := range a.totals {
+		if h.work == w {
+			return &h.used
+		}
+	}
+	h := &habit{work: w}
+	a.totals = append(a.totals, h)
+	return &h.used
+}
+
+// allowance returns the service per second that is not surplus for the caller. For
+// a work that it seldom or never sent, that is an even part of all that it usually
+// gets.
+func (q *Queue) allowance(now time.Duration, c *caller, h *habit) float64 {
+	even := q.usual(now, c.account.total(h.work)) / float64(max(len(c.account.callers), 1))
+	known := float64(now-c.since) / float64(q.cfg.UsualTime)
+	own := usualSlack*q.usual(now, &h.used) + min(floorShare+known, 1)*even
+	return max(own, q.usual(now, &c.used)/float64(len(c.habits)))
+}
+
+// takesUsual reports whether a request of the work is within what its caller
+// usually sends of it, and takes it from the allowance. The last one may overdraw
+// it, so that a small caller's long request is not surplus. While nothing waits,
+// nothing is surplus.
+func (q *Queue) takesUsual(now time.Duration, c *caller, w *work) bool {
+	h := c.habit(now, w)
+	allow := q.allowance(now, c, h)
+	h.tokens = min(h.tokens+allow*(now-h.tokensAt).Seconds(), allow*burst.Seconds()+w.mean)
+	h.tokensAt = now
+	if h.tokens <= 0 {
+		return q.n == 0
+	}
+	h.tokens -= w.mean
 	return true
 }
 
 // use counts service towards what is usual.
 func (q *Queue) use(now time.Duration, w *waiter, service float64) {
-	if w.flow.share.lane.surplus {
+	l, c := w.flow.share.lane, w.flow.caller
+	if l.surplus {
 		service *= surplusWeight
 	}
-	c := w.flow.caller
-	for _, u := range []*usage{&c.used, &c.account.used} {
+	for _, u := range []*usage{&c.habit(now, l.work).used, &c.used, c.account.total(l.work), &c.account.used, &q.used} {
 		u.fade(now, q.cfg.UsualTime)
 		u.sum = max(u.sum+service, 0)
 	}
 }
+
+// lag returns how far the account's surplus stands back behind the usual requests
+// of other accounts. An account whose usual service is far below its weighted
+// share, as a new one's is, stands back less, so that it comes to its share.
+func (q *Queue) lag(now time.Duration, a *account) float64 {
+	due := earnedShare * a.weight / float64(max(q.present, 1)) * q.usual(now, &q.used)
+	part := 1.0
+	if own := q.usual(now, &a.used); own < due {
+		part = own / due
+	}
+	return part * q.cfg.AccountLag * q.mean
+}
--- a/internal/node/agent/fault_test.go
+++ b/internal/node/agent/fault_test.go
@@ -271,7 +271,7 @@
 		time.Sleep(time.Minute)
 		assert.Equal(t, w.running(), 2)
 		w.entries["entry-a"].silence()
-		time.Sleep(isolationLimit - 2*time.Second)
+		time.Sleep(gangs.IsolationLimit - 2*time.Second)
 		assert.Equal(t, w.running(), 2)
 		time.Sleep(2*time.Second + gangs.BeatEvery + gangs.CallLimit)
 		assert.Equal(t, w.running(), 0)
--- a/internal/node/entry/entry.go
+++ b/internal/node/entry/entry.go
@@ -14,6 +14,7 @@
 	"github.com/zeebo/errs"
 	"google.golang.org/grpc"
 	"google.golang.org/grpc/credentials"
+	"google.golang.org/grpc/keepalive"
 
 	"github.com/chestnutpond/chestnutpond"
 	"github.com/chestnutpond/chestnutpond/internal/core/fleet"
@@ -43,6 +44,11 @@
 	closeLimit = 2 * time.Second
 	// headerTimeout bounds the reading of a request's header.
 	headerTimeout = 10 * time.Second
+	// keepaliveAfter and keepaliveTimeout end connections that went silent. Their
+	// Announce streams would otherwise stay open for ever, one for each time that
+	// an agent connected again.
+	keepaliveAfter   = 10 * time.Second
+	keepaliveTimeout = 5 * time.Second
 	// maxInnerMessage bounds an inner message, in bytes.
 	maxInnerMessage = 64 << 20
 )
@@ -89,11 +95,13 @@
 	inner  net.Listener
 	origin ledger.Origin
 
-	pool  *dials.Pool
-	tail  *tail.Tail
-	group *peers.Group
-	serve *serve.Server
-	sched *sched.Manager
+	// events links the events of each job.
+	events *events.Trail
+	pool   *dials.Pool
+	tail   *tail.Tail
+	group  *peers.Group
+	serve  *serve.Server
+	sched  *sched.Manager
 
 	stopping atomic.Bool
 
@@ -120,6 +128,7 @@
 	}
 	e := &Entry{
 		cfg: cfg, log: cfg.Logs.Logger("entry"), outer: outer, inner: in,
+		events: events.NewTrail(cfg.Events),
 		origin: ledger.Origin{Process: cfg.Name, Incarnation: cfg.Incarnation},
 	}
 	e.wire()
@@ -140,7 +149,7 @@
 			Name: cfg.Name, Incarnation: cfg.Incarnation, Address: cfg.Advertise, Region: cfg.Region, Zone: cfg.Zone,
 		},
 		Entries: cfg.Entries, Dialer: e.pool, Tail: e.tail, Listener: e,
-		Events: cfg.Events, Logger: cfg.Logs.Logger("peers"),
+		Events: cfg.Events, Logger: cfg.Logs.Logger("peers"), Metrics: cfg.Metrics,
 	})
 	e.serve = serve.New(serve.Config{
 		Origin: e.origin, Region: cfg.Region, Zone: cfg.Zone, Seed: uint64(cfg.Incarnation),
@@ -149,7 +158,7 @@
 	})
 	e.sched = sched.New(sched.Config{
 		Origin: e.origin, Region: cfg.Region, Seed: uint64(cfg.Incarnation), Tail: e.tail, Members: e.group,
-		Dialer: e.pool, Events: cfg.Events, Logger: cfg.Logs.Logger("sched"), Metrics: cfg.Metrics,
+		Dialer: e.pool, Events: e.events, Logger: cfg.Logs.Logger("sched"), Metrics: cfg.Metrics,
 	})
 	e.gauges()
 }
@@ -229,6 +238,7 @@
 func (e *Entry) addInner(actors *run.Group) {
 	options := []grpc.ServerOption{
 		grpc.MaxRecvMsgSize(maxInnerMessage), grpc.MaxSendMsgSize(maxInnerMessage),
+		grpc.KeepaliveParams(keepalive.ServerParameters{Time: keepaliveAfter, Timeout: keepaliveTimeout}),
 	}
 	if e.cfg.ServerTLS != nil {
 		options = append(options, grpc.Creds(credentials.NewTLS(e.cfg.ServerTLS)))
@@ -313,10 +323,29 @@
 	if c.Kind == ledger.ChangeConfig {
 		e.adopt()
 	}
+	e.noteJob(c)
 	e.sched.LogChanged(c)
 	e.group.LogChanged(c)
 }
 
+// noteJob records what callers of this entry did to a job. It comes before the
+// scheduler hears of the change, whose events name this one as their cause.
+func (e *Entry) noteJob(c ledger.Change) {
+	if c.By != e.origin {
+		return
+	}
+	kind := chestnutpond.EventAccepted
+	switch {
+	case c.Kind == ledger.ChangeAccepted:
+	case c.Cancel:
+		kind = chestnutpond.EventCancelled
+	default:
+		return
+	}
+	job, _ := e.lookupJob(c.Job)
+	e.events.Add(chestnutpond.Event{Kind: kind, Job: c.Job, Account: job.Spec.Account})
+}
+
 func (e *Entry) logReplaced() {
 	e.adopt()
 	e.sched.LogReplaced()
--- a/internal/node/sched/region.go
+++ b/internal/node/sched/region.go
@@ -29,6 +29,9 @@
 	// ended is closed when run returned.
 	ended chan struct{}
 	kick  chan struct{}
+	// claimed is the event of the term; it led to what becomes of the attempts
+	// that another entry started.
+	claimed chestnutpond.EventID
 
 	// mu guards the fields below. The tail's and the members' locks may be
 	// taken under it.
@@ -37,7 +40,11 @@
 	// attempts are those in progress, one for each job.
 	attempts map[chestnutpond.JobID]*attempt
 	// strays are tasks that were told to stop, with the time of the last call.
-	strays  map[chestnutpond.TaskID]time.Duration
+	strays map[chestnutpond.TaskID]time.Duration
+	notes  *notes
+	// claims is when accelerators were claimed for the jobs that do not run yet.
+	claims  map[chestnutpond.JobID]time.Duration
+	meters  *meters
 	running sync.WaitGroup
 }
 
@@ -49,6 +56,9 @@
 		core:     place.New(place.Config{Region: t.Region, Seed: m.cfg.Seed}),
 		attempts: make(map[chestnutpond.JobID]*attempt),
 		strays:   make(map[chestnutpond.TaskID]time.Duration),
+		notes:    newNotes(),
+		claims:   make(map[chestnutpond.JobID]time.Duration),
+		meters:   newMeters(m.cfg.Metrics, t.Region),
 	}
 	r.load(doc)
 	return r
@@ -93,6 +103,7 @@
 	r.startAdopted()
 	for {
 		r.decide()
+		r.report()
 		timer := time.NewTimer(r.nextWake())
 		select {
 		case <-parent.Done():
@@ -121,6 +132,7 @@
 	r.cancel()
 	<-r.ended
 	r.running.Wait()
+	r.meters.clear()
 }
 
 func (r *region) wake() {
@@ -178,7 +190,9 @@
 	a.checkpoint = job.Checkpoint
 	r.attempts[action.Job] = a
 	r.event(chestnutpond.EventPlaced, a, action.Reason)
-	if !action.Guaranteed {
+	if action.Guaranteed {
+		r.noteClaim(action.Job)
+	} else {
 		r.event(chestnutpond.EventBorrowed, a, "")
 	}
 	r.running.Add(1)
@@ -190,15 +204,24 @@
 	if !ok {
 		return
 	}
+	r.meters.preemptions.Inc(1)
+	r.noteClaim(action.For)
+	// The event comes first, because the attempt names it as the cause of its
+	// stop as soon as it is woken.
+	r.m.cfg.Events.Add(chestnutpond.Event{
+		Kind: chestnutpond.EventReclaimed, Job: a.spec.ID, Attempt: a.number, Account: a.spec.Account,
+		Detail: action.Reason + " for " + string(action.For), Cause: r.m.cfg.Events.Last(action.For),
+	})
 	a.preempted = action.Reason
 	a.notice()
-	r.event(chestnutpond.EventReclaimed, a, action.Reason+" for "+string(action.For))
 }
 
 func (r *region) event(kind chestnutpond.EventKind, a *attempt, detail string) {
-	r.m.cfg.Events.Add(chestnutpond.Event{
-		Kind: kind, Job: a.spec.ID, Attempt: a.number, Account: a.spec.Account, Detail: detail,
-	})
+	e := chestnutpond.Event{Kind: kind, Job: a.spec.ID, Attempt: a.number, Account: a.spec.Account, Detail: detail}
+	if a.adopted && r.m.cfg.Events.Last(a.spec.ID) == "" {
+		e.Cause = r.claimed
+	}
+	r.m.cfg.Events.Add(e)
 }
 
 func (r *region) setDocument(doc chestnutpond.Document) {
@@ -250,6 +273,7 @@
 		}
 	case ledger.ChangeEnded:
 		if !active {
+			delete(r.claims, c.Job)
 			r.core.Remove(r.m.now(), c.Job)
 		}
 	}
@@ -282,8 +306,10 @@
 	case endStopped:
 		r.core.Stopped(now, id, a.number)
 	case endFinal:
+		delete(r.claims, id)
 		r.core.Remove(now, id)
 	}
+	r.noteEjected(a, end.failure)
 	r.mu.Unlock()
 	r.wake()
 }
--- a/internal/test/load/figures.go
+++ b/internal/test/load/figures.go
@@ -21,6 +21,8 @@
 	answeredN  int
 	// work is the slot time of the answered requests of the ordinary day.
 	work float64
+	// workRest leaves the small callers' requests of the most urgent kind out.
+	workRest float64
 	// refusal holds the microseconds from arrival to refusal.
 	refusal *hdrhistogram.Histogram
 	busy    float64
@@ -46,8 +48,14 @@
 	}
 }
 
-func (f *figures) add(q *request, took time.Duration) {
-	if q.group == extra {
+// other reports whether the request is one of the ordinary day, after the warm-up.
+func (w *world) other(q *request) bool {
+	flooded := w.row.known && q.group == small && q.kind == &w.dep.kinds[0]
+	return q.group != extra && !flooded && q.arrived >= w.begin
+}
+
+func (f *figures) add(w *world, q *request, took time.Duration) {
+	if !w.other(q) {
 		return
 	}
 	s, least := took.Seconds(), (q.service + 2*zoneLatency + 2*clientLatency).Seconds()
@@ -68,17 +76,26 @@
 }
 
 func (f *figures) answered(w *world, q *request) {
-	f.add(q, w.now-q.arrived+2*clientLatency)
-	if q.group != extra {
-		f.answeredN++
-		f.work += q.service.Seconds()
+	f.add(w, q, w.now-q.arrived+2*clientLatency)
+	if !w.other(q) {
+		return
+	}
+	f.answeredN++
+	f.work += q.service.Seconds()
+	if q.group != small || q.kind != &w.dep.kinds[0] {
+		f.workRest += q.service.Seconds()
 	}
 }
 
-func (f *figures) unanswered(_ *world, q *request) { f.add(q, q.kind.Timeout) }
+func (f *figures) unanswered(w *world, q *request) {
+	f.add(w, q, q.kind.Timeout)
+}
 
 // refused counts a request that is told that it did not run.
 func (f *figures) refused(w *world, q *request) {
+	if q.arrived < w.begin {
+		return
+	}
 	_ = f.refusal.RecordValue(int64((w.now - q.arrived + 2*clientLatency) / time.Microsecond))
 	f.unanswered(w, q)
 }
@@ -112,6 +129,7 @@
 	colJain
 	colAnswered
 	colWork
+	colWorkRest
 	colKept
 	colRefuse99
 	colRefuseMax
@@ -142,6 +160,7 @@
 	{"Jain", 3, true},
 	{"answered %", 1, true},
 	{"work s", 0, true},
+	{"rest s", 0, true},
 	{"kept %", 1, true},
 	{"refuse p99 ms", 0, false},
 	{"refuse max ms", 0, false},
@@ -201,11 +220,12 @@
 	r[colJain] = f.jain()
 	r[colAnswered] = percent(float64(f.answeredN), float64(len(f.completion)))
 	r[colWork] = f.work
+	r[colWorkRest] = f.workRest
 	r[colRefuse99] = float64(f.refusal.ValueAtQuantile(99)) / 1000
 	r[colRefuseMax] = float64(f.refusal.Max()) / 1000
 	r[colRefusedSends] = percent(float64(f.refusals), float64(f.sends))
 	r[colBad] = percent(float64(f.badStart), float64(f.starts))
 	r[colFar] = (w.ways[0].bytes + w.ways[1].bytes) / 1e6
-	r[colUse] = percent(f.busy, float64(len(w.upstreams)*slots)*w.end.Seconds())
+	r[colUse] = percent(f.busy, float64(len(w.upstreams)*slots)*(w.end-w.begin).Seconds())
 	return r
 }
