--- a/internal/core/gangs/drive.go
+++ b/internal/core/gangs/drive.go
@@ -1,6 +1,7 @@
 package gangs
 
 import (
+	"strings"
 	"time"
 
 	"google.golang.org/protobuf/types/known/durationpb"
@@ -179,6 +180,10 @@
 	}
 	switch status.Phase {
 	case chestnutpond.TaskCompleted:
+		if len(status.Result) > MaxResult {
+			t.finish(inner.TaskState_TASK_STATE_FAILED, "the result is too long", now)
+			return
+		}
 		t.result = status.Result
 		t.finish(inner.TaskState_TASK_STATE_COMPLETED, "", now)
 	case chestnutpond.TaskFailed:
@@ -187,7 +192,8 @@
 			t.finish(t.end, t.reason, now)
 			return
 		}
-		t.finish(inner.TaskState_TASK_STATE_FAILED, status.Reason, now)
+		reason := strings.ToValidUTF8(status.Reason[:min(len(status.Reason), MaxReason)], "")
+		t.finish(inner.TaskState_TASK_STATE_FAILED, reason, now)
 	case chestnutpond.TaskStopped:
 		end, reason := inner.TaskState_TASK_STATE_STOPPED, "the worker stopped the task"
 		if t.phase == stopping {
--- a/internal/core/gangs/gangs.go
+++ b/internal/core/gangs/gangs.go
@@ -65,6 +65,11 @@
 	// MaxEnded bounds the ended tasks that wait for their release. When that
 	// many completed or failed, Prepare is refused, so that no result is lost.
 	MaxEnded = 1024
+	// MaxResult bounds the result of a task in bytes. A longer one fails the
+	// task, because a row with many of them could not be sent. MaxReason bounds
+	// the worker's reason, of which the rest is cut off.
+	MaxResult = 16 << 10
+	MaxReason = 1 << 10
 	// MaxStopped bounds the stopped tasks that wait for their release; the
 	// oldest is dropped first, because a stopped task has no result.
 	MaxStopped = 256
