--- a/internal/node/peers/notice_test.go
+++ b/internal/node/peers/notice_test.go
@@ -128,7 +128,7 @@
 // TestPeersAreNamedOnce guards against an idle exchange that repeats all
 // entries, and against an entry that is never named because its answer was lost.
 func TestPeersAreNamedOnce(t *testing.T) {
-	g := New(Config{Self: fleet.Peer{Name: "entry-1", Incarnation: 1}})
+	g := New(Config{Self: fleet.Peer{Name: "entry-1", Incarnation: 1}, Metrics: stats.New()})
 	hear := func(name string) {
 		g.peers.Heard(g.Now(), fleet.Peer{Name: name, Incarnation: 1, Address: name})
 	}
