Test of packed documents uses the world's entry

Before: the answer went to an entry that no agent knew. After: go test -race ./internal/node/agent passes.

--- a/internal/node/agent/announce_test.go
+++ b/internal/node/agent/announce_test.go
@@ -127,7 +127,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		w := newWorld(t, 1)
 		defer w.stop()
-		e := w.addEntry("entry-a")
+		e := w.entries["entry-a"]
 		packed, err := pack.Pack([]byte("four"))
 		assert.NilError(t, err)
 		e.answer(&inner.AnnounceReply{ConfigVersion: 4, PackedDocument: packed})
