Let a new entry learn what callers usually get

Cause: a new row replaces the entries one after the other during a flood of the least urgent work. Ruled out: nothing else tried; without a past a flood can't be told from usual work. Change: Queue.Usual lists what callers usually get, Queue.Learn takes it over. No process sends it yet; the row runs once without and once with learning.

--- a/internal/core/admit/prop_test.go
+++ b/internal/core/admit/prop_test.go
@@ -223,6 +223,29 @@
 	}
 }
 
+// Guards against a new entry that takes a flood under way for usual work.
+func TestLearnFromPeer(t *testing.T) {
+	q, late := newTestQueue(Config{}), newTestQueue(Config{})
+	for i := range 600 {
+		now := time.Duration(i) * time.Second
+		q.Offer(now, Item{ID: fmt.Sprint(i), Account: "a", Caller: "c", Kind: "x"})
+		it, _ := q.Next(now, anyKind)
+		q.Done(now, it.ID, 500*time.Millisecond)
+	}
+	now := 10 * time.Minute
+	list := q.Usual(now, 10)
+	assert.Equal(t, len(list), 1)
+	assert.Assert(t, math.Abs(list[0].Rate-0.5) < 0.05, "%v", list)
+	late.Learn(time.Second, append(list, Usual{Account: "?", Kind: "x", Rate: 1}, Usual{Account: "a", Kind: "?", Rate: 1}))
+	got := late.Usual(time.Second, 10)
+	assert.Equal(t, len(got), 1)
+	assert.Assert(t, math.Abs(got[0].Rate-list[0].Rate) < 0.01, "%v", got)
+	late.Offer(time.Second, Item{ID: "1", Account: "a", Caller: "c", Kind: "x"})
+	late.Learn(time.Second, list)
+	assert.Assert(t, math.Abs(late.Usual(time.Second, 10)[0].Rate-list[0].Rate) < 0.01)
+	assert.Equal(t, len(late.Usual(now, 0)), 0)
+}
+
 // A full queue must take from the longest queue, never from a small caller.
 func TestOfferWhenFull(t *testing.T) {
 	item := func(id, account, caller, kind string) Item {
--- a/internal/core/admit/queue.go
+++ b/internal/core/admit/queue.go
@@ -54,8 +54,9 @@
 	mean float64
 	// used is the usual service of all accounts.
 	used usage
-	// start is when the first request came; negative before.
-	start time.Duration
+	// start is when the first request came, once it has.
+	start   time.Duration
+	started bool
 	// known counts the callers in memory; idle lists those without requests,
 	// oldest first.
 	known               int
@@ -75,7 +76,6 @@
 		kinds:      map[string]bool{},
 		mean:       cfg.ServiceGuess.Seconds(),
 		meanWeight: 1,
-		start:      -1,
 	}
 	q.big = heap[*account]{less: heavier, at: func(a *account) *int { return &a.bigAt }}
 	q.deadline = heap[*waiter]{
@@ -106,8 +106,8 @@
 	if _, ok := q.items[it.ID]; ok {
 		return q.refuse(chestnutpond.ReasonInProgress, 0)
 	}
-	if q.start < 0 {
-		q.start = now
+	if !q.started {
+		q.started, q.start = true, now
 	}
 	c := a.callers[it.Caller]
 	if c == nil {
--- a/internal/test/load/deploy.go
+++ b/internal/test/load/deploy.go
@@ -123,6 +123,8 @@
 	entry    *entry
 	attempt  int
 	tried    []string
+	// gone is set when the entry of the request was replaced.
+	gone bool
 }
 
 // stream is a source of requests.
--- a/internal/test/load/policy.go
+++ b/internal/test/load/policy.go
@@ -23,6 +23,8 @@
 	putBack(now time.Duration, id string)
 	done(now time.Duration, id string, served time.Duration)
 	len() int
+	// learn takes over what a peer knows of callers.
+	learn(now time.Duration, peer policy)
 }
 
 // policies are measured against each other; the last one is this project's.
@@ -36,6 +38,9 @@
 	{"core", newCore},
 }
 
+// usualLimit is how many habits a new entry learns from a peer.
+const usualLimit = 4096
+
 // core is the project's own policy.
 type core struct {
 	queue  *admit.Queue
@@ -93,6 +98,10 @@
 
 func (c *core) len() int { return c.queue.Len() }
 
+func (c *core) learn(now time.Duration, peer policy) {
+	c.queue.Learn(now, peer.(*core).queue.Usual(now, usualLimit))
+}
+
 // baseline is a queue in order of arrival, for each class if strict, before the
 // first free target of the list or the one with the least connections. It is
 // bounded by the sum of the accounts' queue limits.
@@ -227,3 +236,5 @@
 }
 
 func (b *baseline) done(_ time.Duration, id string, _ time.Duration) { delete(b.running, id) }
+
+func (b *baseline) learn(time.Duration, policy) {}
--- a/internal/test/load/rows.go
+++ b/internal/test/load/rows.go
@@ -146,6 +146,19 @@
 	w.after(at(0.6), func() { w.rate, w.extraWay = linkRate, 0 })
 }
 
+// replaced replaces the entries one after the other.
+func replaced(learn bool) func(w *world, at func(float64) time.Duration) {
+	return func(w *world, at func(float64) time.Duration) {
+		for i, e := range w.entries {
+			var peer *entry
+			if learn {
+				peer = w.entries[(i+1)%len(w.entries)]
+			}
+			w.after(at(0.3+0.1*float64(i)), func() { w.restart(e, peer) })
+		}
+	}
+}
+
 // rows are the loads, in the order of the table. The first is the reference.
 var rows = []row{
 	{name: "ordinary day"},
@@ -154,6 +167,8 @@
 	{name: "flood, most urgent, one account", load: flood(false, 1), flood: true},
 	{name: "flood, most urgent, all accounts", load: flood(false, 4), flood: true},
 	{name: "flood, most urgent, known callers", load: knownFlood, flood: true, known: true},
+	{name: "flood, least urgent, entries replaced", load: flood(true, 4), flood: true, faults: replaced(false)},
+	{name: "the same, new entries learn from a peer", load: flood(true, 4), flood: true, faults: replaced(true)},
 	{name: "greedy, one account", load: greedy(1), greedy: true},
 	{name: "greedy, three accounts", load: greedy(3), greedy: true},
 	{name: "one bad upstream", faults: bad(1), bad: true},
--- a/internal/test/load/world.go
+++ b/internal/test/load/world.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"maps"
 	"math/rand/v2"
 	"slices"
 	"strconv"
@@ -41,8 +42,10 @@
 type entry struct {
 	region, zone string
 	policy       policy
-	waiting      map[string]*request
-	polling      bool
+	// build makes a new policy, as a new process would.
+	build   func() policy
+	waiting map[string]*request
+	polling bool
 }
 
 // direction is one way of the link between the regions.
@@ -82,7 +85,8 @@
 	zones := [][2]string{{dep.regions[0], "z1"}, {dep.regions[0], "z2"}, {dep.regions[1], "z3"}}
 	for i, z := range zones {
 		e := &entry{region: z[0], zone: z[1], waiting: map[string]*request{}}
-		e.policy = build(e, dep, seed*10+uint64(i))
+		e.build = func() policy { return build(e, dep, seed*10+uint64(i)) }
+		e.policy = e.build()
 		w.entries = append(w.entries, e)
 	}
 	n := max(r.upstreams, 10)
@@ -291,6 +295,9 @@
 
 // backBytes ends an attempt at the entry.
 func (w *world) backBytes(q *request, u *upstream, res route.Result, sent, served time.Duration, bytes, busy int) {
+	if q.gone {
+		return
+	}
 	p := q.entry.policy
 	p.end(w.now, u.Name, q.kind.Name, res, w.now-sent, bytes, busy)
 	defer w.pump(q.entry)
@@ -319,6 +326,9 @@
 
 // resend makes another attempt on a target that was not tried.
 func (w *world) resend(q *request, notRun bool) {
+	if q.gone {
+		return
+	}
 	p := q.entry.policy
 	name, ok := p.pick(w.now, route.Query{Kind: q.kind.Name, Bytes: q.kind.body, Exclude: q.tried})
 	switch {
@@ -345,6 +355,23 @@
 	}
 }
 
+// restart replaces an entry by a new one, which may learn from a peer. The callers
+// lose their connections.
+func (w *world) restart(e, peer *entry) {
+	for _, id := range slices.Sorted(maps.Keys(e.waiting)) {
+		e.waiting[id].gone = true
+		w.fig.unanswered(w, e.waiting[id])
+	}
+	clear(e.waiting)
+	e.policy = e.build()
+	if peer != nil {
+		e.policy.learn(w.now, peer.policy)
+	}
+	for _, u := range w.upstreams {
+		e.policy.put(w.now, u.Target)
+	}
+}
+
 // report sends the row of an upstream to the entries.
 func (w *world) report(u *upstream) {
 	if w.now < w.end {
