A completed task's result survives its agent's process

Ruled out: writing the result to the log from the agent (agents do not read or write the log).

Change: the worker keeps a completed task until its end is in the log; a new incarnation adopts it and reports it; the scheduler takes a completed task from a newer incarnation.

After: TestRestartKeepsResults and TestRestartedAgentKeepsResult pass.

Conclusion: a result is lost only with its worker.

--- a/internal/core/gangs/drive.go
+++ b/internal/core/gangs/drive.go
@@ -139,7 +139,9 @@
 }
 
 // Report takes the worker's list of tasks, asked for at the time asked. It
-// returns the ids that the worker should drop: they ended, or are not known.
+// returns the ids that the worker should drop: they ended without a result, or
+// are not known. A completed task stays on the worker until its end is in the
+// log, so that a new incarnation of the agent finds the result.
 func (t *Table) Report(list []chestnutpond.TaskStatus, asked, now time.Time) []chestnutpond.TaskID {
 	t.mu.Lock()
 	known := make(map[chestnutpond.TaskID]*task, len(t.tasks))
@@ -154,7 +156,7 @@
 		if ok {
 			changed = t.apply(k, now, func(k *task) { k.report(status, now) }) || changed
 		}
-		if !ok || k.phase == ended {
+		if !ok || k.phase == ended && k.end != inner.TaskState_TASK_STATE_COMPLETED {
 			drop = append(drop, status.ID)
 		}
 	}
--- a/internal/core/gangs/gangs.go
+++ b/internal/core/gangs/gangs.go
@@ -20,6 +20,8 @@
 
 import (
 	"fmt"
+	"strconv"
+	"strings"
 	"time"
 
 	"github.com/chestnutpond/chestnutpond"
@@ -87,6 +89,23 @@
 	return chestnutpond.TaskID(fmt.Sprintf("%s.%d.%d", k.Job, k.Attempt, k.Member))
 }
 
+// ParseTask returns the key of a task id on the worker.
+func ParseTask(id chestnutpond.TaskID) (Key, bool) {
+	parts := strings.Split(string(id), ".")
+	if len(parts) != 3 {
+		return Key{}, false
+	}
+	attempt, err := strconv.ParseInt(parts[1], 10, 64)
+	if err != nil {
+		return Key{}, false
+	}
+	member, err := strconv.ParseInt(parts[2], 10, 32)
+	if err != nil {
+		return Key{}, false
+	}
+	return Key{Job: parts[0], Attempt: attempt, Member: int32(member)}, true
+}
+
 // Verdict is the answer to Prepare and Commit.
 type Verdict struct {
 	OK      bool
--- a/internal/core/gangs/table.go
+++ b/internal/core/gangs/table.go
@@ -36,7 +36,8 @@
 	// accelerator, ended tasks aside.
 	holds map[Key]*hold
 	tasks map[Key]*task
-	// leaders has an entry for each gang whose member 0 is in tasks.
+	// leaders has an entry for each gang whose member 0 was committed here and
+	// is in tasks.
 	leaders map[gangKey]*leader
 	// fences maps a job to its highest attempt that may not start here.
 	fences   *aged.Map[int64]
@@ -76,6 +77,30 @@
 	t.cfg.Notify()
 }
 
+// Adopt keeps the result of a task that completed under a former incarnation,
+// until its end is in the log. It returns false if the id or the result is not
+// one that this agent could have.
+func (t *Table) Adopt(status chestnutpond.TaskStatus, now time.Time) bool {
+	key, ok := ParseTask(status.ID)
+	if !ok || status.Phase != chestnutpond.TaskCompleted || len(status.Result) > MaxResult {
+		return false
+	}
+	t.mu.Lock()
+	if _, known := t.tasks[key]; !known && t.results() < MaxEnded {
+		done := make(chan struct{})
+		close(done)
+		t.tasks[key] = &task{
+			key: key, phase: ended, end: inner.TaskState_TASK_STATE_COMPLETED, result: status.Result,
+			endedAt: now, over: true, commit: &inner.CommitRequest{Job: key.Job, Attempt: key.Attempt, Member: key.Member},
+			wake: make(chan struct{}, 1), beat: make(chan struct{}, 1), done: done,
+		}
+	}
+	_, kept := t.tasks[key]
+	t.mu.Unlock()
+	t.cfg.Notify()
+	return kept
+}
+
 // Clean reports whether SetClean was called.
 func (t *Table) Clean() bool {
 	t.mu.Lock()
--- a/internal/node/agent/announce_test.go
+++ b/internal/node/agent/announce_test.go
@@ -166,3 +166,36 @@
 		assert.Equal(t, w.entries["entry-a"].lastRow().GetAccelerators(), int32(8))
 	})
 }
+
+// Guards against a result that is lost with its agent's process: the next
+// incarnation finds it on the worker, reports it, and has the worker drop it
+// only when the end is in the log.
+func TestRestartKeepsResults(t *testing.T) {
+	inWorld(t, "agents", 1, func(t *testing.T, w *world) {
+		w.run = func(int) stand.TaskPayload { return stand.TaskPayload{Run: stand.Duration(time.Second)} }
+		w.launch(1)
+		time.Sleep(2 * time.Second)
+		assert.Equal(t, w.row(0).GetState(), inner.TaskState_TASK_STATE_COMPLETED)
+		w.cancels[0]()
+		<-w.done[0]
+		w.boot(0, 2)
+		time.Sleep(2 * time.Second)
+		row := w.entries["entry-a"].lastRow()
+		assert.Equal(t, row.GetIncarnation(), int64(2))
+		assert.Equal(t, len(row.GetTasks()), 1)
+		assert.Equal(t, row.GetTasks()[0].GetState(), inner.TaskState_TASK_STATE_COMPLETED)
+		assert.Equal(t, row.GetTasks()[0].GetResult(), "ok")
+		assert.Equal(t, row.GetAccelerators(), int32(8))
+		reply, err := w.svc(0).Stop(t.Context(), &inner.StopRequest{
+			Region: "pampa", Term: 1, Job: "j", Attempt: 1, Fence: true,
+		})
+		assert.NilError(t, err)
+		assert.Equal(t, reply.GetState(), inner.TaskState_TASK_STATE_COMPLETED)
+		w.entries["entry-a"].answer(&inner.AnnounceReply{Release: []string{"j.1.0"}})
+		time.Sleep(3 * time.Second)
+		assert.Equal(t, len(w.entries["entry-a"].lastRow().GetTasks()), 0)
+		list, err := w.workers[0].Tasks(t.Context())
+		assert.NilError(t, err)
+		assert.Equal(t, len(list), 0)
+	})
+}
--- a/internal/node/agent/worker.go
+++ b/internal/node/agent/worker.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"github.com/chestnutpond/chestnutpond"
 	"github.com/chestnutpond/chestnutpond/internal/core/gangs"
 )
 
@@ -46,7 +47,8 @@
 	}
 }
 
-// clean stops all tasks of the worker; this incarnation has started none.
+// clean stops all tasks of the worker, and keeps the results of those that
+// completed; this incarnation has started none.
 func (w *watcher) clean(ctx context.Context) {
 	a := w.agent
 	ctx, cancel := context.WithTimeout(ctx, gangs.CallLimit)
@@ -56,26 +58,37 @@
 		a.cfg.Log.Warn("agent: worker does not answer", "error", err)
 		return
 	}
+	left := 0
 	for _, status := range list {
+		if a.gangs.Adopt(status, time.Now()) {
+			continue
+		}
+		left++
 		if err := a.cfg.Worker.Stop(ctx, status.ID); err != nil {
 			a.cfg.Log.Warn("agent: task of a former incarnation not stopped", "task", status.ID, "error", err)
 			return
 		}
 		a.cfg.Log.Info("agent: stopped task of a former incarnation", "task", status.ID)
 	}
-	if len(list) == 0 {
+	if left == 0 {
 		a.gangs.SetClean()
 		return
 	}
-	// The accelerators are free once a list is empty.
+	// The accelerators are free once a list has completed tasks only.
 	w.confirm(ctx)
 }
 
 func (w *watcher) confirm(ctx context.Context) {
 	list, err := w.agent.cfg.Worker.Tasks(ctx)
-	if err == nil && len(list) == 0 {
-		w.agent.gangs.SetClean()
+	if err != nil {
+		return
+	}
+	for _, status := range list {
+		if status.Phase != chestnutpond.TaskCompleted {
+			return
+		}
 	}
+	w.agent.gangs.SetClean()
 }
 
 // poll reports the worker's list to the task table, and makes the worker drop
--- a/internal/node/sched/halt.go
+++ b/internal/node/sched/halt.go
@@ -96,6 +96,7 @@
 	members := h.attempt.region.m.cfg.Members
 	row, ok := members.Row(p.Worker)
 	if ok && row.Member.GetIncarnation() > p.Incarnation {
+		h.noteFound(row, p)
 		return true
 	}
 	h.mu.Lock()
@@ -107,6 +108,17 @@
 	return h.attempt.isGone(row, ok)
 }
 
+// noteFound keeps the result that a new incarnation of the agent found.
+func (h *halter) noteFound(row fleet.Row, p chestnutpond.Placement) {
+	task, found := h.attempt.taskOf(row, p)
+	if !found {
+		return
+	}
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.done[p.Member] = &inner.StopReply{Stopped: true, State: task.GetState(), Result: task.GetResult()}
+}
+
 func (h *halter) result() halted {
 	h.mu.Lock()
 	defer h.mu.Unlock()
--- a/internal/node/sched/inspect.go
+++ b/internal/node/sched/inspect.go
@@ -110,15 +110,15 @@
 	return s
 }
 
-// taskOf finds the attempt's task in a row.
+// taskOf finds the attempt's task in a row. A new incarnation of the agent runs
+// nothing of the attempt, but it may have found that the task completed.
 func (a *attempt) taskOf(row fleet.Row, p chestnutpond.Placement) (*inner.Task, bool) {
-	if row.Member.GetIncarnation() != p.Incarnation {
-		return nil, false
-	}
 	for _, t := range row.Member.GetTasks() {
-		if t.GetJob() == string(a.spec.ID) && t.GetAttempt() == a.number && int(t.GetMember()) == p.Member {
-			return t, true
+		if t.GetJob() != string(a.spec.ID) || t.GetAttempt() != a.number || int(t.GetMember()) != p.Member {
+			continue
 		}
+		completed := t.GetState() == inner.TaskState_TASK_STATE_COMPLETED
+		return t, completed || row.Member.GetIncarnation() == p.Incarnation
 	}
 	return nil, false
 }
--- a/internal/node/sched/random_test.go
+++ b/internal/node/sched/random_test.go
@@ -178,7 +178,8 @@
 	}
 }
 
-// restart kills an agent's process and starts it again without tasks.
+// restart kills an agent's process and starts it again. It finds the completed
+// tasks on the worker, and stops all others.
 func (w *world) restart(name string) {
 	w.mu.Lock()
 	a := w.agents[name]
@@ -187,10 +188,16 @@
 			w.breakGang(t.GetJob(), t.GetAttempt())
 		}
 	}
+	old := a.member.GetTasks()
 	a.member = &inner.Member{
 		Name: name, Incarnation: a.member.GetIncarnation() + 1, Sequence: 1, Address: name, Region: "pampa",
 		Zone: "pampa-a", Rack: a.member.GetRack(), Accelerators: 8, Upstream: &inner.Upstream{},
 	}
+	for _, t := range old {
+		if t.GetState() == inner.TaskState_TASK_STATE_COMPLETED {
+			a.member.Tasks = append(a.member.Tasks, t)
+		}
+	}
 	a.holds = make(map[string]time.Time)
 	w.mu.Unlock()
 	w.tell(name)
--- a/internal/node/sched/sched_test.go
+++ b/internal/node/sched/sched_test.go
@@ -148,6 +148,30 @@
 	})
 }
 
+// TestRestartedAgentKeepsResult guards against a second run of a job that had
+// completed when the agents of its gang were killed, before the end was in the
+// log.
+func TestRestartedAgentKeepsResult(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld(t)
+		e := w.addEntry("a")
+		time.Sleep(5 * time.Second)
+		w.submit(e, "j", "sales", 16)
+		time.Sleep(runTime / 2)
+		w.log.SetFaults(stand.LogFaults{Outage: true})
+		time.Sleep(runTime)
+		for _, name := range w.names() {
+			w.restart(name)
+		}
+		time.Sleep(time.Minute)
+		w.log.SetFaults(stand.LogFaults{})
+		time.Sleep(settle)
+		assert.Equal(t, e.state("j"), chestnutpond.JobCompleted)
+		assert.Equal(t, w.ends["j"], 1)
+		assert.Equal(t, w.startsOf("j"), 2, "both members started once")
+	})
+}
+
 // TestLogOutage guards against an attempt that starts without a record, and
 // against a running job that an outage stops.
 func TestLogOutage(t *testing.T) {
