--- a/internal/core/place/bench_test.go
+++ b/internal/core/place/bench_test.go
@@ -138,3 +138,31 @@
 	runtime.ReadMemStats(&m)
 	return m.HeapAlloc
 }
+
+// BenchmarkWave compares cancelling waiting jobs with running the same number.
+func BenchmarkWave(b *testing.B) {
+	b.Run("cancel", func(b *testing.B) {
+		c, _, next := loaded(1000)
+		for i := range b.N {
+			c.Submit(0, benchSpec(next+i), 0)
+		}
+		b.ResetTimer()
+		for i := range b.N {
+			c.Remove(0, benchSpec(next+i).ID)
+		}
+		c.Decide(0)
+	})
+	b.Run("run", func(b *testing.B) {
+		c, running, next := loaded(1000)
+		b.ResetTimer()
+		for i := range b.N {
+			c.Submit(0, benchSpec(next+i), 0)
+			c.Remove(0, running[i%len(running)])
+			for _, a := range c.Decide(0) {
+				if a.Kind == place.ActionStart {
+					running = append(running, a.Job)
+				}
+			}
+		}
+	})
+}
--- a/internal/core/place/config.go
+++ b/internal/core/place/config.go
@@ -96,9 +96,9 @@
 	setTime(&c.EjectTime, 15*time.Second)
 	setTime(&c.EjectTimeLimit, time.Hour)
 	setInt(&c.MaxAttempts, 3)
-	setTime(&c.PreemptAfter, 15*time.Second)
+	setTime(&c.PreemptAfter, 5*time.Second)
 	setTime(&c.PreemptMinRun, time.Minute)
-	setTime(&c.ReservationAfter, 10*time.Minute)
+	setTime(&c.ReservationAfter, 30*time.Minute)
 	setTime(&c.ReservationPatience, 2*time.Minute)
 	setInt(&c.ReservationLimit, 1)
 	return c
