Placement: failures on suspect workers do not make a job impossible

Change: a failure on a worker that was ejected, or where another job failed too, with no success since, does not count towards giving a job up (twice as many failures in all still do); a job avoids the workers on which it failed for a minute.

--- a/internal/core/place/borrow.go
+++ b/internal/core/place/borrow.go
@@ -94,7 +94,7 @@
 	// not fail.
 	dodgeDelay = time.Second
 	// dodgeLimit is how often it does so before it may go back to them.
-	dodgeLimit = 5
+	dodgeLimit = 60
 )
 
 // dodge delays a job that would fit but for the workers it avoids, so that it
--- a/internal/core/place/health.go
+++ b/internal/core/place/health.go
@@ -74,7 +74,7 @@
 	j.notBefore = c.now + min(delay, c.cfg.RetryDelayLimit)
 	if f.Blame {
 		c.blame(j, f.Worker)
-		if len(j.failed) >= j.spec.MaxAttempts || j.blames >= 2*j.spec.MaxAttempts {
+		if c.countsAgainst(j) >= j.spec.MaxAttempts || j.blames >= 2*j.spec.MaxAttempts {
 			c.giveUp(j, f.Reason)
 			return
 		}
@@ -105,6 +105,24 @@
 	c.judge(w)
 }
 
+// countsAgainst is the number of different workers on which the job failed,
+// without those that were ejected, or where another job failed too, and none
+// succeeded since: with several bad workers a good job can meet all of them before they are ejected.
+func (c *Core) countsAgainst(j *job) int {
+	n := 0
+	for _, name := range j.failed {
+		w := c.fleet.byName[name]
+		if w == nil || len(w.failures) < suspectFailures && w.strikes == 0 {
+			n++
+		}
+	}
+	return n
+}
+
+// suspectFailures is the number of different jobs whose failures make a worker
+// the likely cause for each of them.
+const suspectFailures = 2
+
 func addName(list []string, name string) []string {
 	for _, o := range list {
 		if o == name {
