--- a/internal/core/place/config.go
+++ b/internal/core/place/config.go
@@ -74,7 +74,8 @@
 	FeatureDisplace
 )
 
-// FeaturesAll is every part; without them all, the policy is its first version.
+// FeaturesAll is every part; without them all, the policy is close to its first
+// version. Shares by level and the later rules of health are always on.
 const FeaturesAll = FeatureSharedFit | FeatureBacklog | FeaturePreempt | FeaturePatience |
 	FeatureFloat | FeatureDisplace
 
