--- a/internal/core/admit/bound.go
+++ b/internal/core/admit/bound.go
@@ -11,46 +11,54 @@
 }
 
 // room returns the flows that each have to give up their newest request before
-// one more of the caller fits, and false if there is no room for it.
-func (q *Queue) room(a *account, l *lane, c *caller) ([]*flow, bool) {
+// one more of the caller fits, and the reason if there is no room for it.
+func (q *Queue) room(a *account, l *lane, c *caller) ([]*flow, chestnutpond.Reason) {
 	var victims []*flow
-	if a.n >= a.limit {
+	if c.waiting >= q.callerLimit(a) {
+		f := c.longest()
+		if !over(f, l, c) {
+			return nil, chestnutpond.ReasonCallerLimit
+		}
+		victims = append(victims, f)
+	}
+	if len(victims) == 0 && a.n >= a.limit {
 		f := a.longest.top()
 		if !over(f, l, c) {
-			return nil, false
+			return nil, chestnutpond.ReasonQueueFull
 		}
 		victims = append(victims, f)
 	}
-	if l.n >= q.cfg.KindLimit && (len(victims) == 0 || victims[0].share.lane != l) {
-		f := l.longest.top()
+	if l.work.n >= q.cfg.KindLimit && (len(victims) == 0 || victims[0].share.lane.work != l.work) {
+		f := l.work.longest.top()
 		if !over(f, l, c) {
-			return nil, false
+			return nil, chestnutpond.ReasonQueueFull
 		}
 		victims = append(victims, f)
 	}
 	if len(victims) == 0 && q.Len() >= q.cfg.Limit {
 		if q.n == 0 {
-			return nil, false
+			return nil, chestnutpond.ReasonQueueFull
 		}
 		b := q.big.top()
 		f := b.longest.top()
 		if b == a && !over(f, l, c) || b != a && float64(b.n-1)/b.weight <= float64(a.n)/a.weight {
-			return nil, false
+			return nil, chestnutpond.ReasonQueueFull
 		}
 		victims = append(victims, f)
 	}
-	return victims, true
+	return victims, ""
 }
 
-// over reports whether the flow is longer than the caller's queue would be in
-// the lane after one more request.
+// over reports whether the flow has to give up a request for one of the caller in
+// the lane: surplus gives way to usual requests, and a longer queue to a shorter.
 func over(f *flow, l *lane, c *caller) bool {
+	if f.share.lane.surplus != l.surplus {
+		return f.share.lane.surplus
+	}
 	own := 0
-	if c != nil {
-		for _, o := range c.flows {
-			if o.share.lane == l {
-				own = o.n
-			}
+	for _, o := range c.flows {
+		if o.share.lane == l {
+			own = o.n
 		}
 	}
 	return f.n > own+1
@@ -73,16 +81,17 @@
 	}
 	s.n++
 	l.n++
+	l.work.n++
 	a.n++
 	q.n++
 	c.waiting++
 	if f.n == 1 {
 		s.flows.push(f)
-		l.longest.push(f)
+		l.work.longest.push(f)
 		a.longest.push(f)
 	} else {
 		s.flows.fix(f)
-		l.longest.fix(f)
+		l.work.longest.fix(f)
 		a.longest.fix(f)
 	}
 	if s.n == 1 {
@@ -112,16 +121,17 @@
 	f.unlink(w)
 	s.n--
 	l.n--
+	l.work.n--
 	a.n--
 	q.n--
 	c.waiting--
 	if f.n == 0 {
 		s.flows.remove(f)
-		l.longest.remove(f)
+		l.work.longest.remove(f)
 		a.longest.remove(f)
 	} else {
 		s.flows.fix(f)
-		l.longest.fix(f)
+		l.work.longest.fix(f)
 		a.longest.fix(f)
 	}
 	if s.n == 0 {
@@ -142,25 +152,33 @@
 	if w.flow.n == 0 {
 		c.drop(w.flow)
 	}
+	q.settle(c)
+}
+
+// settle puts a caller without requests into the idle list. One that was never
+// served is the next to be forgotten, so that a flood under many names does not
+// drive out what is known of others.
+func (q *Queue) settle(c *caller) {
 	if c.waiting > 0 || c.running > 0 || c.idle {
 		return
 	}
 	c.idle = true
-	c.idlePrev = q.idleLast
-	if q.idleLast != nil {
-		q.idleLast.idleNext = c
-	} else {
-		q.idleFirst = c
+	switch {
+	case q.idleFirst == nil:
+		q.idleFirst, q.idleLast = c, c
+	case c.used.sum == 0:
+		c.idleNext, q.idleFirst.idlePrev, q.idleFirst = q.idleFirst, c, c
+	default:
+		c.idlePrev, q.idleLast.idleNext, q.idleLast = q.idleLast, c, c
 	}
-	q.idleLast = c
 	for q.known > q.cfg.CallerLimit && q.idleFirst != nil {
 		q.dropCaller(q.idleFirst)
 	}
 	q.dropAccount(c.account)
 }
 
-func (q *Queue) addCaller(a *account, name string) *caller {
-	c := &caller{name: name, account: a}
+func (q *Queue) addCaller(a *account, now time.Duration, name string) *caller {
+	c := &caller{name: name, account: a, since: now}
 	a.callers[name] = c
 	q.known++
 	return c
@@ -210,23 +228,35 @@
 
 // lane returns the lane of the kind. A class that is not one of the three counts
 // as bulk, which bounds the number of lanes.
-func (q *Queue) lane(kind string, class chestnutpond.Class) *lane {
+func (q *Queue) lane(kind string, class chestnutpond.Class, surplus bool) *lane {
 	if class.Rank() > chestnutpond.ClassBulk.Rank() {
 		class = chestnutpond.ClassBulk
 	}
+	var w *work
 	for _, l := range q.lanes {
-		if l.kind == kind && l.class == class {
+		if l.work.kind != kind || l.work.class != class {
+			continue
+		}
+		if l.surplus == surplus {
 			return l
 		}
+		w = l.work
+	}
+	if w == nil {
+		w = newWork(kind, class, q.mean)
 	}
-	lead := 0.0
+	l := newLane(w, surplus)
 	switch class {
 	case chestnutpond.ClassUrgent:
-		lead = q.cfg.UrgentLead
+		l.lead = q.cfg.UrgentLead
 	case chestnutpond.ClassStandard:
-		lead = q.cfg.StandardLead
+		l.lead = q.cfg.StandardLead
+	}
+	l.inner = l.lead
+	if surplus {
+		l.lead = 0
+		l.inner -= q.cfg.SurplusLag
 	}
-	l := newLane(kind, class, q.mean, lead)
 	q.lanes = append(q.lanes, l)
 	return l
 }
@@ -242,6 +272,18 @@
 	return s
 }
 
+// longest returns the flow of the caller that gives up a request first. The caller
+// has requests waiting.
+func (c *caller) longest() *flow {
+	var best *flow
+	for _, f := range c.flows {
+		if f.n > 0 && (best == nil || longer(f, best)) {
+			best = f
+		}
+	}
+	return best
+}
+
 func (c *caller) find(s *share) *flow {
 	for _, f := range c.flows {
 		if f.share == s {
@@ -256,7 +298,7 @@
 	if f := c.find(s); f != nil {
 		return f
 	}
-	f := &flow{share: s, caller: c, seq: seq, flowAt: -1, laneLongAt: -1, accountLongAt: -1}
+	f := &flow{share: s, caller: c, seq: seq, flowAt: -1, workLongAt: -1, accountLongAt: -1}
 	c.flows = append(c.flows, f)
 	return f
 }
--- a/internal/core/admit/group.go
+++ b/internal/core/admit/group.go
@@ -11,7 +11,6 @@
 	item Item
 	// seq orders requests by age; it is unique.
 	seq  uint64
-	at   time.Duration
 	flow *flow
 	// giveUp is when the request can no longer be answered in time; negative if
 	// it has no deadline.
@@ -26,19 +25,27 @@
 	deadlineAt int
 }
 
-// lane is one kind in one class.
-type lane struct {
+// work is one kind in one class.
+type work struct {
 	kind  string
 	class chestnutpond.Class
 	// mean is the moving average of the service time in seconds.
 	mean float64
-	// lead is how far ahead of its share an account may be served, in requests.
-	lead float64
 	n    int
-	// shares holds the accounts with requests waiting in this lane.
-	shares heap[*share]
 	// longest has the flow with the most requests on top.
 	longest heap[*flow]
+}
+
+// lane is the part of a work that callers usually send, or the surplus.
+type lane struct {
+	work    *work
+	surplus bool
+	// lead is how far ahead of its share an account may be served, in requests;
+	// inner is the same for the lane among those of an account.
+	lead, inner float64
+	n           int
+	// shares holds the accounts with requests waiting in this lane.
+	shares heap[*share]
 	// servable is set by Next for the length of one call.
 	servable bool
 }
@@ -51,10 +58,11 @@
 	n       int
 	flows   heap[*flow]
 	shareAt int
-	// busySince is the start of the present gap between two departures, and gap
-	// the moving average of such gaps in seconds; zero means not measured.
-	busySince time.Duration
-	gap       float64
+	// busySince is the last departure, or when the share began to wait. Waited
+	// and departures are sums over the time before that in which requests waited,
+	// in seconds; both fade with that time.
+	busySince          time.Duration
+	waited, departures float64
 }
 
 // flow is what one caller has in one share, in order of arrival.
@@ -66,7 +74,7 @@
 	seq         uint64
 	first, last *waiter
 
-	flowAt, laneLongAt, accountLongAt int
+	flowAt, workLongAt, accountLongAt int
 }
 
 // caller is one caller of an account, over all lanes.
@@ -77,6 +85,11 @@
 	flows   []*flow
 	// waiting and running count the caller's requests.
 	waiting, running int
+	// since is when the caller was first seen.
+	since time.Duration
+	// habits holds one for each work that the caller sent.
+	habits []*habit
+	used   usage
 
 	idlePrev, idleNext *caller
 	idle               bool
@@ -89,15 +102,21 @@
 	weight float64
 	limit  int
 	tag    float64
+	// lag is how far the account's surplus stands back behind the usual requests
+	// of other accounts, in seconds of service.
+	lag float64
 	// laneTag and callerTag are the virtual times of the account's lanes and
 	// callers: the greatest tag that was served.
 	laneTag, callerTag float64
-	n                  int
-	shares             []*share
-	callers            map[string]*caller
-	longest            heap[*flow]
-	bigAt              int
-	seq                uint64
+	used               usage
+	// totals holds the usage by work.
+	totals  []*habit
+	n       int
+	shares  []*share
+	callers map[string]*caller
+	longest heap[*flow]
+	bigAt   int
+	seq     uint64
 }
 
 func (f *flow) pushBack(w *waiter) {
@@ -137,21 +156,34 @@
 	f.n--
 }
 
-func newLane(kind string, class chestnutpond.Class, mean, lead float64) *lane {
-	l := &lane{kind: kind, class: class, mean: mean, lead: lead}
+func newWork(kind string, class chestnutpond.Class, mean float64) *work {
+	w := &work{kind: kind, class: class, mean: mean}
+	w.longest = heap[*flow]{less: longer, at: func(f *flow) *int { return &f.workLongAt }}
+	return w
+}
+
+func newLane(w *work, surplus bool) *lane {
+	l := &lane{work: w, surplus: surplus}
 	l.shares = heap[*share]{
 		less: func(a, b *share) bool {
-			if a.account.tag != b.account.tag {
-				return a.account.tag < b.account.tag
+			if x, y := a.turn(), b.turn(); x != y {
+				return x < y
 			}
 			return a.account.seq < b.account.seq
 		},
 		at: func(s *share) *int { return &s.shareAt },
 	}
-	l.longest = heap[*flow]{less: longer, at: func(f *flow) *int { return &f.laneLongAt }}
 	return l
 }
 
+// turn orders the accounts of a lane: by tag, and surplus stands back.
+func (s *share) turn() float64 {
+	if s.lane.surplus {
+		return s.account.tag + s.account.lag
+	}
+	return s.account.tag
+}
+
 func newAccount(name string, seq uint64) *account {
 	a := &account{name: name, callers: map[string]*caller{}, bigAt: -1, seq: seq}
 	a.longest = heap[*flow]{less: longer, at: func(f *flow) *int { return &f.accountLongAt }}
@@ -172,7 +204,12 @@
 	return s
 }
 
+// longer orders flows by what they give up when a queue is full: surplus before
+// usual requests, then the longest.
 func longer(a, b *flow) bool {
+	if a.share.lane.surplus != b.share.lane.surplus {
+		return a.share.lane.surplus
+	}
 	if a.n != b.n {
 		return a.n > b.n
 	}
--- a/internal/core/ledger/apply.go
+++ b/internal/core/ledger/apply.go
@@ -33,6 +33,8 @@
 	Region  string
 	Job     chestnutpond.JobID
 	Attempt int64
+	// Cancel means that a caller's cancellation had the effect.
+	Cancel bool
 }
 
 // Apply folds the record at the state's next offset. A *FormatError leaves the
@@ -74,7 +76,9 @@
 	case EndJob:
 		return s.end(offset, by, b)
 	case CancelJob:
-		return s.cancel(offset, b)
+		change := s.cancel(offset, b)
+		change.Cancel = change.Kind != ChangeNone
+		return change
 	case Intents:
 		return s.intend(offset, by, b)
 	case CloseIntents:
@@ -89,7 +93,8 @@
 	}
 	current := s.configs[b.Service]
 	result := Publication{ID: b.ID, Service: b.Service, Version: current.Version}
-	if b.Base == current.Version {
+	if b.Base == current.Version && (s.service == "" || s.service == b.Service) {
+		s.service = b.Service
 		result.Accepted = true
 		result.Version = current.Version + 1
 		s.configs[b.Service] = Config{Service: b.Service, Version: result.Version, Document: b.Document}
@@ -140,7 +145,7 @@
 
 func (s *State) start(by Origin, b StartJob) Change {
 	j, ok := s.jobs[b.Job]
-	if !ok || j.State != chestnutpond.JobQueued || b.Attempt != j.Attempt+1 {
+	if !ok || j.State != chestnutpond.JobQueued || b.Attempt <= j.Attempt {
 		return Change{}
 	}
 	if !s.holds(by, j, b.Region, b.Term) {
--- /dev/null
+++ b/internal/node/agent/announce_test.go
@@ -0,0 +1,201 @@
+package agent
+
+import (
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"google.golang.org/protobuf/types/known/durationpb"
+	"gotest.tools/v3/assert"
+
+	"github.com/chestnutpond/chestnutpond"
+	"github.com/chestnutpond/chestnutpond/internal/core/gangs"
+	"github.com/chestnutpond/chestnutpond/internal/test/stand"
+	"github.com/chestnutpond/chestnutpond/internal/wire/inner"
+	"github.com/chestnutpond/chestnutpond/internal/wire/pack"
+)
+
+// Guards the agent's row after a change: it arrives within the time to gather
+// changes, with a higher sequence, and heartbeats keep the interval of the entry.
+func TestAnnounceRowsAndHeartbeats(t *testing.T) {
+	inWorld(t, "agents", 1, func(t *testing.T, w *world) {
+		e := w.entries["entry-a"]
+		e.answer(&inner.AnnounceReply{Heartbeat: durationpb.New(5 * time.Second)})
+		time.Sleep(20 * time.Second)
+		before := e.messages()
+		time.Sleep(50 * time.Second)
+		beats := e.messages()[len(before):]
+		assert.Equal(t, len(beats), 10)
+		for _, b := range beats {
+			assert.Assert(t, b.GetMember() == nil)
+		}
+		old := e.lastRow()
+		assert.Equal(t, old.GetAccelerators(), int32(8))
+		assert.Equal(t, old.GetUpstream().GetSlots(), int32(2))
+		_, err := w.svc(0).Prepare(t.Context(), w.prepareReq(0, 1))
+		assert.NilError(t, err)
+		time.Sleep(coalesce)
+		synctest.Wait()
+		row := e.lastRow()
+		assert.Equal(t, row.GetSequence(), old.GetSequence()+1)
+		assert.Equal(t, row.GetTasks()[0].GetState(), inner.TaskState_TASK_STATE_HELD)
+		time.Sleep(4 * time.Second)
+		assert.Equal(t, len(e.lastRow().GetTasks()), 0, "an expired reservation leaves the row")
+	})
+}
+
+// Guards the budget of 4 KB/s: changes of the busy count alone are sent at most
+// once a second, however many requests run.
+func TestAnnounceBusyIsLimited(t *testing.T) {
+	inWorld(t, "agents", 1, func(t *testing.T, w *world) {
+		e := w.entries["entry-a"]
+		w.upstreams[0].SetFaults(stand.UpstreamFaults{Slow: stand.Duration(70 * time.Millisecond)})
+		before := len(e.messages())
+		for i := range 100 {
+			_, err := w.svc(0).Serve(t.Context(), serveReq(time.Duration(i).String(), "x"))
+			assert.NilError(t, err)
+			time.Sleep(30 * time.Millisecond)
+		}
+		sent := len(e.messages()) - before
+		assert.Assert(t, sent <= 21, "%d messages in 10 s", sent)
+	})
+}
+
+// Guards against an agent that no entry knows: it finds another entry when its
+// stream breaks, and when the stream is silent.
+func TestAnnounceFailsOver(t *testing.T) {
+	cases := map[string]struct {
+		fail  func(w *world, home *fakeEntry)
+		limit time.Duration
+	}{
+		"broken": {
+			fail: func(w *world, home *fakeEntry) {
+				w.mu.Lock()
+				defer w.mu.Unlock()
+				for name, e := range w.entries {
+					if e == home {
+						delete(w.entries, name)
+					}
+				}
+				home.breakAll()
+			},
+			limit: 300 * time.Millisecond,
+		},
+		"silent": {
+			fail:  func(_ *world, home *fakeEntry) { home.answer(nil) },
+			limit: 3500 * time.Millisecond,
+		},
+	}
+	for name, c := range cases {
+		inWorld(t, name, 1, func(t *testing.T, w *world) {
+			home, other := w.entries["entry-a"], w.addEntry("entry-b")
+			assert.Equal(t, len(other.messages()), 0)
+			sequence := home.lastRow().GetSequence()
+			c.fail(w, home)
+			time.Sleep(c.limit)
+			assert.Assert(t, other.lastRow() != nil)
+			// The former home may report the row as lost under its last sequence.
+			assert.Equal(t, other.lastRow().GetSequence(), sequence+1, "a new stream has a newer row")
+			assert.Assert(t, w.agents[0].Ready())
+		})
+	}
+}
+
+// Guards invariant 8: the version in force never goes down, needs its document,
+// and is reported back at once.
+func TestConfigNeverReverts(t *testing.T) {
+	inWorld(t, "agents", 1, func(t *testing.T, w *world) {
+		e := w.entries["entry-a"]
+		answer := func(version int64, document string) {
+			e.answer(&inner.AnnounceReply{ConfigVersion: version, Document: []byte(document)})
+			time.Sleep(3 * time.Second)
+		}
+		answer(4, "four")
+		answer(3, "three")
+		answer(5, "")
+		assert.Equal(t, w.agents[0].ConfigVersion(), int64(4))
+		assert.Equal(t, string(w.agents[0].Document()), "four")
+		all := e.messages()
+		assert.Equal(t, all[len(all)-1].GetConfigVersion(), int64(4))
+	})
+}
+
+// Guards against a document that is in force unread: the agent reports the
+// version of a packed document once it has it, and leaves a stream on which it
+// cannot read one.
+func TestPackedDocument(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld(t, 1)
+		defer w.stop()
+		e := w.entries["entry-a"]
+		packed, err := pack.Pack([]byte("four"))
+		assert.NilError(t, err)
+		e.answer(&inner.AnnounceReply{ConfigVersion: 4, PackedDocument: packed})
+		time.Sleep(3 * time.Second)
+		assert.Equal(t, string(w.agents[0].Document()), "four")
+		sequence := e.lastRow().GetSequence()
+		e.answer(&inner.AnnounceReply{ConfigVersion: 5, PackedDocument: packed[:len(packed)-1]})
+		time.Sleep(3 * time.Second)
+		assert.Equal(t, w.agents[0].ConfigVersion(), int64(4))
+		assert.Equal(t, string(w.agents[0].Document()), "four")
+		assert.Assert(t, e.lastRow().GetSequence() > sequence, "a new stream has a newer row")
+	})
+}
+
+// Guards against a worker that still runs tasks of a former incarnation while
+// the new one offers its accelerators, or while its row says that they are gone.
+func TestRestartCleansTheWorkerFirst(t *testing.T) {
+	inWorld(t, "agents", 1, func(t *testing.T, w *world) {
+		w.cancels[0]()
+		<-w.done[0]
+		w.workers[0].stopFails.Store(true)
+		spec := chestnutpond.TaskSpec{ID: "old.1.0", Lease: gangs.TaskLease, Payload: []byte(`{"run": "1h"}`)}
+		assert.NilError(t, w.workers[0].Start(t.Context(), spec))
+		before := len(w.entries["entry-a"].messages())
+		w.boot(0, 2)
+		time.Sleep(gangs.TaskLease)
+		assert.Equal(t, len(w.entries["entry-a"].messages()), before)
+		time.Sleep(2 * time.Second)
+		assert.Equal(t, w.entries["entry-a"].lastRow().GetIncarnation(), int64(2))
+		assert.Equal(t, w.entries["entry-a"].lastRow().GetAccelerators(), int32(0))
+		reply, err := w.svc(0).Prepare(t.Context(), w.prepareReq(0, 2))
+		assert.NilError(t, err)
+		assert.Equal(t, reply.GetRefusal(), inner.Refusal_REFUSAL_NO_ACCELERATOR)
+		w.workers[0].stopFails.Store(false)
+		time.Sleep(2 * time.Second)
+		assert.Equal(t, w.entries["entry-a"].lastRow().GetAccelerators(), int32(8))
+	})
+}
+
+// Guards against a result that is lost with its agent's process: the next
+// incarnation finds it on the worker, reports it, and has the worker drop it
+// only when the end is in the log.
+func TestRestartKeepsResults(t *testing.T) {
+	inWorld(t, "agents", 1, func(t *testing.T, w *world) {
+		w.run = func(int) stand.TaskPayload { return stand.TaskPayload{Run: stand.Duration(time.Second)} }
+		w.launch(1)
+		time.Sleep(2 * time.Second)
+		assert.Equal(t, w.row(0).GetState(), inner.TaskState_TASK_STATE_COMPLETED)
+		w.cancels[0]()
+		<-w.done[0]
+		w.boot(0, 2)
+		time.Sleep(2 * time.Second)
+		row := w.entries["entry-a"].lastRow()
+		assert.Equal(t, row.GetIncarnation(), int64(2))
+		assert.Equal(t, len(row.GetTasks()), 1)
+		assert.Equal(t, row.GetTasks()[0].GetState(), inner.TaskState_TASK_STATE_COMPLETED)
+		assert.Equal(t, row.GetTasks()[0].GetResult(), "ok")
+		assert.Equal(t, row.GetAccelerators(), int32(8))
+		reply, err := w.svc(0).Stop(t.Context(), &inner.StopRequest{
+			Region: "pampa", Term: 1, Job: "j", Attempt: 1, Fence: true,
+		})
+		assert.NilError(t, err)
+		assert.Equal(t, reply.GetState(), inner.TaskState_TASK_STATE_COMPLETED)
+		w.entries["entry-a"].answer(&inner.AnnounceReply{Release: []string{"j.1.0"}})
+		time.Sleep(3 * time.Second)
+		assert.Equal(t, len(w.entries["entry-a"].lastRow().GetTasks()), 0)
+		list, err := w.workers[0].Tasks(t.Context())
+		assert.NilError(t, err)
+		assert.Equal(t, len(list), 0)
+	})
+}
--- a/internal/node/peers/group.go
+++ b/internal/node/peers/group.go
@@ -12,6 +12,7 @@
 	"github.com/chestnutpond/chestnutpond/internal/core/fleet"
 	"github.com/chestnutpond/chestnutpond/internal/core/ledger"
 	"github.com/chestnutpond/chestnutpond/internal/node/tail"
+	"github.com/chestnutpond/chestnutpond/internal/obs/stats"
 	"github.com/chestnutpond/chestnutpond/internal/wire/inner"
 )
 
@@ -24,19 +25,32 @@
 	// before its peer counts as lost.
 	exchangeTimeout = exchangeWait + time.Second
 	exchangeRetry   = 300 * time.Millisecond
-	expireEvery     = 200 * time.Millisecond
-	// forgetAfter is how long a lost agent stays in the table.
+	// exchangeRetryLate is the pause once an entry has not answered for
+	// retrySoonFor: most such addresses belong to hosts that were replaced.
+	exchangeRetryLate = 3 * time.Second
+	retrySoonFor      = 30 * time.Second
+	expireEvery       = 200 * time.Millisecond
+	// forgetAfter is how long a lost agent or entry stays in the table.
 	forgetAfter = 2 * time.Hour
+	// followFor is how long the address of an entry is tried without an answer,
+	// unless it is in the settings. Hosts of entries are replaced at any time, so
+	// without it the known addresses would reach addressLimit.
+	followFor = 10 * time.Minute
 	// addressLimit bounds the known addresses of entries.
 	addressLimit = 256
 )
 
+// VouchLimit is how long an entry that reads no log and hears no majority of the
+// known entries still answers its agents. The scheduler of a region counts on it
+// before it restarts a gang that it cannot reach.
+const VouchLimit = 60 * time.Second
+
 // Dialer gives connections to other processes.
 type Dialer interface {
 	// Get returns a connection for one call and the function that ends the call.
 	Get(address string) (grpc.ClientConnInterface, func(), error)
-	// Replace closes the connection to address.
-	Replace(address string)
+	// Replace closes a connection that Get returned for the address.
+	Replace(address string, conn grpc.ClientConnInterface)
 }
 
 // Listener hears about changed rows. Calls hold no lock of the group and come
@@ -53,20 +67,22 @@
 	// Self is this entry as the others see it.
 	Self fleet.Peer
 	// Entries are inner addresses of entries known from the settings.
-	Entries []string
-	// Service names the service whose document agents get.
-	Service  string
+	Entries  []string
 	Dialer   Dialer
 	Tail     *tail.Tail
 	Listener Listener
 	Events   chestnutpond.EventSink
 	Logger   *slog.Logger
+	Metrics  *stats.Registry
 }
 
 // Group is the membership of one entry.
 type Group struct {
-	cfg   Config
-	start time.Time
+	cfg    Config
+	start  time.Time
+	meters *meters
+	// documents has a lock of its own, under which no other is taken.
+	documents packer
 
 	// mu guards the fields below. No other lock is taken under it.
 	mu    sync.Mutex
@@ -78,8 +94,14 @@
 	pollers map[string]*poller
 	// notices are the channels of the Announce streams, signalled when the
 	// stream has something to send.
-	notices  map[*session]struct{}
+	notices map[*session]struct{}
+	// streams are the newest Announce streams by the agent's name.
+	streams  map[string]*session
 	draining bool
+	// cutSince is since when this entry is cut off; zero while it is not.
+	cutSince time.Duration
+	// running is the context of Run; nil before it.
+	running context.Context
 }
 
 // New returns a group that knows only itself.
@@ -87,11 +109,13 @@
 	return &Group{
 		cfg:     cfg,
 		start:   time.Now(),
+		meters:  newMeters(cfg.Metrics),
 		table:   fleet.New(fleet.Config{Self: cfg.Self.Name}),
 		peers:   fleet.NewPeers(fleet.PeersConfig{Self: cfg.Self, LostAfter: peerLost}),
 		changed: make(chan struct{}),
 		pollers: make(map[string]*poller),
 		notices: make(map[*session]struct{}),
+		streams: make(map[string]*session),
 	}
 }
 
@@ -100,8 +124,11 @@
 
 // Run polls the other entries and expires silent agents until ctx ends.
 func (g *Group) Run(ctx context.Context) error {
+	g.mu.Lock()
+	g.running = ctx
+	g.mu.Unlock()
 	for _, address := range g.cfg.Entries {
-		g.follow(ctx, address)
+		g.follow(address)
 	}
 	ticker := time.NewTicker(expireEvery)
 	defer ticker.Stop()
@@ -129,6 +156,28 @@
 	return g.table.Get(name)
 }
 
+// Homed returns the number of agents whose home is this entry.
+func (g *Group) Homed() int {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.table.Homed()
+}
+
+// LastIncarnation returns the highest known incarnation of an agent or entry, 0
+// if the name is not known.
+func (g *Group) LastIncarnation(name string) int64 {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	var last int64
+	if row, ok := g.table.Get(name); ok {
+		last = row.Member.GetIncarnation()
+	}
+	if peer, ok := g.peers.Get(name); ok {
+		last = max(last, peer.Incarnation)
+	}
+	return last
+}
+
 // Peers returns the other entries, by name.
 func (g *Group) Peers() []fleet.Peer {
 	g.mu.Lock()
@@ -150,19 +199,43 @@
 	return g.peers.Rank(region)
 }
 
-// Drain makes the agents look for another home.
+// Drain makes the agents look for another home, and tells the other entries that
+// this one leaves.
 func (g *Group) Drain() {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.draining = true
 	g.noticeAll()
+	g.bump()
+}
+
+// LogChanged wakes the Announce streams that have something to send: all after
+// a new document or a replaced state, and those of a job's agents after its
+// attempt was over. Other records come up to 60 times a second and tell agents
+// nothing; an answer to each would exceed the 4 KB/s of a node.
+func (g *Group) LogChanged(c ledger.Change) {
+	switch c.Kind {
+	case ledger.ChangeNone, ledger.ChangeConfig:
+		g.mu.Lock()
+		defer g.mu.Unlock()
+		g.noticeAll()
+	case ledger.ChangeStopped, ledger.ChangeEnded:
+		g.noticeJob(c.Job)
+	}
 }
 
-// LogChanged tells the agents' streams that the fold moved.
-func (g *Group) LogChanged(ledger.Change) {
+// noticeJob wakes the streams of the agents that the job's last attempt was
+// placed on.
+func (g *Group) noticeJob(id chestnutpond.JobID) {
+	var job ledger.Job
+	g.cfg.Tail.View(func(st *ledger.State) { job, _ = st.Job(id) })
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.noticeAll()
+	for _, p := range job.Placements {
+		if s, ok := g.streams[p.Worker]; ok {
+			s.notice()
+		}
+	}
 }
 
 // noticeAll wakes the Announce streams. The caller holds mu.
@@ -172,13 +245,39 @@
 	}
 }
 
+// vouches reports whether agents may rely on this entry: it reads the log and so
+// learns which attempts are over, or it is in touch with most of the entries.
+func (g *Group) vouches() bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.cutSince == 0 || g.Now()-g.cutSince < VouchLimit
+}
+
+// noteCut tells the group whether the log is read. The caller holds mu.
+func (g *Group) noteCut(now time.Duration, readsLog bool) {
+	if readsLog || g.peers.Majority() {
+		g.cutSince = 0
+		return
+	}
+	if g.cutSince == 0 {
+		g.cutSince = now
+		return
+	}
+	if now-g.cutSince >= VouchLimit {
+		g.noticeAll()
+	}
+}
+
 func (g *Group) expire() {
 	now := g.Now()
+	readsLog := g.cfg.Tail.Available()
 	g.mu.Lock()
+	g.noteCut(now, readsLog)
 	lostPeers := g.peers.Expire(now)
 	lost := g.table.Expire(now, g.peers.LostSince)
 	rows := g.rowsOf(lost)
 	forgotten := g.table.Forget(now, forgetAfter)
+	g.peers.Forget(now, forgetAfter)
 	if len(lost) > 0 {
 		g.bump()
 	}
--- a/internal/node/tail/tail.go
+++ b/internal/node/tail/tail.go
@@ -8,10 +8,10 @@
 	"time"
 
 	"github.com/cenkalti/backoff/v5"
-	"github.com/rcrowley/go-metrics"
 
 	"github.com/chestnutpond/chestnutpond"
 	"github.com/chestnutpond/chestnutpond/internal/core/ledger"
+	"github.com/chestnutpond/chestnutpond/internal/obs/stats"
 )
 
 const (
@@ -37,7 +37,7 @@
 	Events chestnutpond.EventSink
 	Logger *slog.Logger
 	// Metrics gets the meters and gauges of this package.
-	Metrics metrics.Registry
+	Metrics *stats.Registry
 	// Sync returns the packed state of another entry. It fails when none can be
 	// reached.
 	Sync func(ctx context.Context) ([]byte, error)
@@ -110,12 +110,14 @@
 // state is loaded.
 func (t *Tail) Snapshot() ([]byte, int64, error) {
 	t.mu.RLock()
-	defer t.mu.RUnlock()
 	if !t.loaded {
+		t.mu.RUnlock()
 		return nil, 0, ledger.Error.New("state is not loaded")
 	}
-	data, err := t.state.Snapshot()
-	return data, t.state.Next(), err
+	img := t.state.Capture()
+	t.mu.RUnlock()
+	data, err := img.Pack()
+	return data, img.Next(), err
 }
 
 // Run reads and folds until ctx ends, or until a record of a later release
