--- a/internal/core/place/config.go
+++ b/internal/core/place/config.go
@@ -74,7 +74,8 @@
 	FeatureDisplace
 )
 
-// FeaturesAll is every part; without them all, the policy is its first version.
+// FeaturesAll is every part; without them all, the policy is close to its first
+// version. Shares by level and the later rules of health are always on.
 const FeaturesAll = FeatureSharedFit | FeatureBacklog | FeaturePreempt | FeaturePatience |
 	FeatureFloat | FeatureDisplace
 
@@ -96,9 +97,9 @@
 	setTime(&c.EjectTime, 15*time.Second)
 	setTime(&c.EjectTimeLimit, time.Hour)
 	setInt(&c.MaxAttempts, 3)
-	setTime(&c.PreemptAfter, 15*time.Second)
+	setTime(&c.PreemptAfter, 5*time.Second)
 	setTime(&c.PreemptMinRun, time.Minute)
-	setTime(&c.ReservationAfter, 10*time.Minute)
+	setTime(&c.ReservationAfter, 30*time.Minute)
 	setTime(&c.ReservationPatience, 2*time.Minute)
 	setInt(&c.ReservationLimit, 1)
 	return c
