Two schedulers no longer share an attempt; news of a job no longer starts it twice

Found and mended: - record took the start of the successor for its own when both gave the attempt the same number. It now also asks that the fold still shows its term. - The news of an accepted job can come after a new scheduler took the job from the fold. The job was submitted again, and a second attempt of the same number was started. Known jobs are left alone. Change to a test: the jobs of the entry's tests run for an hour. Without a payload they ended after a second, and the test of the gauges looked too late in some runs.

--- a/internal/node/entry/world_test.go
+++ b/internal/node/entry/world_test.go
@@ -211,7 +211,8 @@
 	}
 }
 
-const job8 = `{"kind":"forecast","accelerators":8,"adjacency":"worker"}`
+// job8 runs until it is stopped: its payload is {"run":"1h"}.
+const job8 = `{"kind":"forecast","accelerators":8,"adjacency":"worker","payload":"eyJydW4iOiIxaCJ9"}`
 
 func jobCall(token, key, body string) call {
 	return call{method: "POST", path: "/v1/jobs", token: token, body: body, header: map[string]string{headerKey: key}}
--- a/internal/node/sched/attempt.go
+++ b/internal/node/sched/attempt.go
@@ -138,10 +138,15 @@
 	}
 	for ctx.Err() == nil {
 		err := a.append(ctx, body)
-		job, ok := a.job()
+		job, ok, held := a.standing()
 		if !ok || job.State.Final() {
 			return false, true
 		}
+		if !held {
+			// The next scheduler may have started an attempt of the same number, so
+			// the number alone does not tell whose start is valid.
+			return false, false
+		}
 		if job.Attempt >= a.number {
 			return job.Attempt == a.number, false
 		}
@@ -165,6 +170,17 @@
 	return job, ok
 }
 
+// standing returns the job, and whether this entry still held the term when the
+// fold reached it.
+func (a *attempt) standing() (job ledger.Job, ok, held bool) {
+	a.region.m.cfg.Tail.View(func(st *ledger.State) {
+		job, ok = st.Job(a.spec.ID)
+		term := st.Term(a.region.name)
+		held = term.Number == a.region.term && term.Held(a.region.m.cfg.Origin)
+	})
+	return job, ok, held
+}
+
 // watch follows a committed attempt until it ends.
 func (a *attempt) watch(ctx context.Context) ending {
 	for {
--- a/internal/node/sched/region.go
+++ b/internal/node/sched/region.go
@@ -266,7 +266,9 @@
 	a, active := r.attempts[c.Job]
 	switch c.Kind {
 	case ledger.ChangeAccepted:
-		r.submit(c.Job)
+		if !active {
+			r.submit(c.Job)
+		}
 	case ledger.ChangeCancelling:
 		if active {
 			a.cancelled = true
@@ -283,7 +285,13 @@
 	r.wake()
 }
 
+// submit makes an accepted job wait. The news of a job that load took from the
+// fold may come after it; submitting that job again would start an attempt
+// twice. The caller holds mu.
 func (r *region) submit(id chestnutpond.JobID) {
+	if _, known := r.core.Waiting(id); known {
+		return
+	}
 	var job ledger.Job
 	var ok bool
 	r.m.cfg.Tail.View(func(st *ledger.State) { job, ok = st.Job(id) })
