--- a/internal/core/route/router_test.go
+++ b/internal/core/route/router_test.go
@@ -62,11 +62,12 @@
 		"two targets":      {targets: 2, fails: fails("t0"), out: 1, starts: 0.01},
 		"recovers":         {targets: 10, fails: func(n, _ string, now time.Duration) bool { return n == "t0" && now < 5*time.Second }, out: 1, starts: 0.2, again: true},
 		"kind fails":       {targets: 10, fails: func(_, kind string, _ time.Duration) bool { return kind == "y" }, starts: 0.2, again: true},
+		"one kind on one":  {targets: 10, fails: func(n, kind string, _ time.Duration) bool { return n == "t0" && kind == "y" }, starts: 0.2, again: true},
 		"fails for a tick": {targets: 10, fails: func(_, _ string, now time.Duration) bool { return now < time.Second }, starts: 0.2, again: true},
 	} {
 		t.Run(name, func(t *testing.T) {
 			r := newTestRouter(c.targets)
-			second, starts, last, out := 0, 0, 0, 0
+			second, starts, last, out, wrong := 0, 0, 0, 0, 0
 			for i := range 12000 {
 				now := time.Duration(i) * 10 * time.Millisecond
 				kind := []string{"x", "x", "y"}[i%3]
@@ -76,6 +77,9 @@
 				res := ResultAnswered
 				if c.fails(name, kind, now) {
 					res = ResultFailed
+					if now >= time.Minute && name == "t0" && kind == "y" {
+						wrong++
+					}
 				}
 				r.End(now, name, kind, res, 0, 0, 0)
 				out = max(out, r.out)
@@ -89,6 +93,9 @@
 			}
 			assert.Equal(t, out, c.out)
 			assert.Assert(t, float64(starts) <= c.starts*float64(second), "%d of %d starts on t0", starts, second)
+			if name == "one kind on one" {
+				assert.Assert(t, wrong <= second/300, "%d of %d starts of y on t0", wrong, second/3)
+			}
 			assert.Assert(t, !c.again || last > 11900, "last start on t0 at %d", last)
 		})
 	}
@@ -121,3 +128,76 @@
 	r.PutTarget(4*time.Second, far)
 	assert.Assert(t, !r.CanServe(time.Minute, "x"))
 }
+
+// Guards against work that leaves its zone or its region while there is room in it,
+// and against bytes to other regions beyond the budget.
+func TestPickGoesByDistance(t *testing.T) {
+	r := New(Config{Region: "r1", Zone: "z1", Seed: 1, FarBytesPerSecond: 1000})
+	for _, in := range []Target{
+		{Name: "far", Region: "r2", Zone: "z1"}, {Name: "region", Region: "r1", Zone: "z2"}, {Name: "zone", Region: "r1", Zone: "z1"},
+	} {
+		in.Slots, in.Kinds, in.Up = 1, []string{"x"}, true
+		r.PutTarget(0, in)
+	}
+	for _, want := range []string{"zone", "region", "far"} {
+		name, ok := r.Pick(0, Query{Kind: "x", Bytes: 600})
+		assert.Assert(t, ok)
+		assert.Equal(t, name, want)
+		r.Begin(0, name, "x", 600)
+	}
+	// The answer of 1,400 bytes takes the budget down to -1,000.
+	r.End(0, "far", "x", ResultAnswered, 0, 1400, 0)
+	_, ok := r.Pick(1500*time.Millisecond, Query{Kind: "x", Bytes: 600})
+	assert.Assert(t, !ok)
+	_, ok = r.Pick(1900*time.Millisecond, Query{Kind: "x", Bytes: 600})
+	assert.Assert(t, ok)
+	_, ok = r.Pick(2*time.Second, Query{Kind: "x", Bytes: 600, Exclude: []string{"far"}})
+	assert.Assert(t, !ok)
+}
+
+// A new target among known ones must not get all its slots used at once.
+func TestSlowStart(t *testing.T) {
+	r := newTestRouter(1)
+	for range 8 {
+		r.Begin(0, "t0", "x", 0)
+	}
+	start := time.Minute
+	r.PutTarget(start, Target{Name: "new", Region: "r1", Zone: "z1", Slots: 8, Kinds: []string{"x"}, Up: true})
+	open := 0
+	for i, want := range []int{1, 3, 5, 7, 8} {
+		now := start + time.Duration(i)*2500*time.Millisecond
+		for r.CanServe(now, "x") {
+			r.Begin(now, "new", "x", 0)
+			open++
+		}
+		assert.Equal(t, open, want, "after %v", now-start)
+	}
+}
+
+// Retries must not add to the load of a kind that fails on every target, while a
+// refused attempt may go elsewhere.
+func TestRetryOfFailingKind(t *testing.T) {
+	r := newTestRouter(4)
+	for i := range 20 {
+		name := fmt.Sprintf("t%d", i%4)
+		r.Begin(0, name, "x", 0)
+		r.End(0, name, "x", ResultFailed, 0, 0, 0)
+		r.Begin(0, name, "y", 0)
+		r.End(0, name, "y", ResultAnswered, 0, 0, 0)
+	}
+	for name, c := range map[string]struct {
+		a    Attempt
+		want bool
+	}{
+		"failing kind":          {Attempt{Number: 1, Kind: "x", Idempotent: true}, false},
+		"failing kind, refused": {Attempt{Number: 1, Kind: "x", ProvenNotRun: true}, true},
+		"other kind":            {Attempt{Number: 1, Kind: "y", Idempotent: true}, true},
+		"unknown kind":          {Attempt{Number: 1, Kind: "z", Idempotent: true}, false},
+		"third attempt":         {Attempt{Number: 3, Kind: "y", Idempotent: true}, false},
+		"no time left":          {Attempt{Number: 1, Kind: "y", Idempotent: true, Deadline: 5 * time.Millisecond}, false},
+		"may have run":          {Attempt{Number: 1, Kind: "y"}, false},
+	} {
+		_, ok := r.Retry(0, c.a)
+		assert.Equal(t, ok, c.want, name)
+	}
+}
--- a/internal/node/agent/announce.go
+++ b/internal/node/agent/announce.go
@@ -10,8 +10,10 @@
 	"google.golang.org/protobuf/proto"
 
 	"github.com/chestnutpond/chestnutpond"
+	"github.com/chestnutpond/chestnutpond/internal/core/gangs"
 	"github.com/chestnutpond/chestnutpond/internal/core/home"
 	"github.com/chestnutpond/chestnutpond/internal/wire/inner"
+	"github.com/chestnutpond/chestnutpond/internal/wire/pack"
 )
 
 const (
@@ -28,13 +30,14 @@
 	// firstRetry and lastRetry bound the jittered pause before the next stream.
 	firstRetry = 100 * time.Millisecond
 	lastRetry  = 3 * time.Second
-	// isolationLimit is how long an agent that no entry answers keeps its
-	// tasks, and isolationSlack the least time that it has after a silent
-	// stream to find another entry. A scheduler waits 29 s after the home entry
+	// isolationSlack is the least time that an agent has after a silent stream to
+	// find another entry before it counts as isolated. A scheduler waits 29 s after the home entry
 	// declared the agent lost, which it does after the same silence, before it
 	// starts a gang again of which it can reach no member.
-	isolationLimit = 20 * time.Second
 	isolationSlack = 5 * time.Second
+	// documentLimit bounds an unpacked document, in bytes. Entries refuse larger
+	// ones.
+	documentLimit = 1 << 20
 )
 
 // announcer keeps one Announce stream to the home entry.
@@ -82,12 +85,7 @@
 		if n.session(ctx) {
 			retry.Reset()
 		}
-		timer := time.NewTimer(retry.NextBackOff())
-		select {
-		case <-ctx.Done():
-		case <-timer.C:
-		}
-		timer.Stop()
+		wait(ctx, time.Now().Add(retry.NextBackOff()), nil, nil)
 	}
 	return nil
 }
@@ -145,7 +143,7 @@
 func (n *announcer) isolated(now time.Time) bool {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	return now.Sub(n.answered) >= max(isolationLimit, n.silence()+isolationSlack)
+	return now.Sub(n.answered) >= max(gangs.IsolationLimit, n.silence()+isolationSlack)
 }
 
 func (n *announcer) connected() bool {
@@ -186,14 +184,29 @@
 		if err != nil {
 			return
 		}
+		document, err := documentOf(reply)
+		if err != nil {
+			// The next stream gets the document again.
+			l.announcer.agent.cfg.Log.Error("agent: document not readable", "entry", l.entry, "error", err)
+			return
+		}
 		l.answered = true
-		l.watchdog.Reset(l.announcer.take(l.entry, reply))
+		l.watchdog.Reset(l.announcer.take(l.entry, reply, document))
+	}
+}
+
+// documentOf returns the document of a reply; it is empty if there is none.
+func documentOf(reply *inner.AnnounceReply) ([]byte, error) {
+	if packed := reply.GetPackedDocument(); len(packed) > 0 {
+		return pack.Unpack(packed, documentLimit)
 	}
+	return reply.GetDocument(), nil
 }
 
 // take applies an answer and returns how long the stream may be silent now.
-func (n *announcer) take(entry string, reply *inner.AnnounceReply) time.Duration {
+func (n *announcer) take(entry string, reply *inner.AnnounceReply, document []byte) time.Duration {
 	n.agent.gangs.Release(reply.GetRelease(), time.Now())
+	n.agent.gangs.Over(reply.GetOver(), "the log says that the attempt is over", time.Now())
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	n.up, n.answered = true, time.Now()
@@ -202,8 +215,8 @@
 	if d := reply.GetHeartbeat().AsDuration(); d > 0 {
 		n.interval = min(max(d, minInterval), maxInterval)
 	}
-	if reply.GetConfigVersion() > n.version && len(reply.GetDocument()) > 0 {
-		n.version, n.doc = reply.GetConfigVersion(), reply.GetDocument()
+	if reply.GetConfigVersion() > n.version && len(document) > 0 {
+		n.version, n.doc = reply.GetConfigVersion(), document
 		n.agent.record(chestnutpond.Event{
 			Kind: chestnutpond.EventConfigInForce, Detail: fmt.Sprintf("version %d", n.version),
 		})
--- a/internal/node/agent/announce_test.go
+++ b/internal/node/agent/announce_test.go
@@ -9,16 +9,17 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/chestnutpond/chestnutpond"
+	"github.com/chestnutpond/chestnutpond/internal/core/gangs"
+	"github.com/chestnutpond/chestnutpond/internal/test/stand"
 	"github.com/chestnutpond/chestnutpond/internal/wire/inner"
+	"github.com/chestnutpond/chestnutpond/internal/wire/pack"
 )
 
 // Guards the agent's row after a change: it arrives within the time to gather
 // changes, with a higher sequence, and heartbeats keep the interval of the entry.
 func TestAnnounceRowsAndHeartbeats(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		w := newWorld(t, 1)
-		defer w.stop()
-		e := w.addEntry("entry-a")
+	inWorld(t, "agents", 1, func(t *testing.T, w *world) {
+		e := w.entries["entry-a"]
 		e.answer(&inner.AnnounceReply{Heartbeat: durationpb.New(5 * time.Second)})
 		time.Sleep(20 * time.Second)
 		before := e.messages()
@@ -26,7 +27,7 @@
 		beats := e.messages()[len(before):]
 		assert.Equal(t, len(beats), 10)
 		for _, b := range beats {
-			assert.Assert(t, b.req.GetMember() == nil)
+			assert.Assert(t, b.GetMember() == nil)
 		}
 		old := e.lastRow()
 		assert.Equal(t, old.GetAccelerators(), int32(8))
@@ -46,12 +47,9 @@
 // Guards the budget of 4 KB/s: changes of the busy count alone are sent at most
 // once a second, however many requests run.
 func TestAnnounceBusyIsLimited(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		w := newWorld(t, 1)
-		defer w.stop()
-		e := w.addEntry("entry-a")
-		time.Sleep(10 * time.Second)
-		w.upstreams[0].takes = 70 * time.Millisecond
+	inWorld(t, "agents", 1, func(t *testing.T, w *world) {
+		e := w.entries["entry-a"]
+		w.upstreams[0].SetFaults(stand.UpstreamFaults{Slow: stand.Duration(70 * time.Millisecond)})
 		before := len(e.messages())
 		for i := range 100 {
 			_, err := w.svc(0).Serve(t.Context(), serveReq(time.Duration(i).String(), "x"))
@@ -84,33 +82,21 @@
 			limit: 300 * time.Millisecond,
 		},
 		"silent": {
-			fail: func(_ *world, home *fakeEntry) {
-				home.mu.Lock()
-				defer home.mu.Unlock()
-				home.mute = true
-			},
+			fail:  func(_ *world, home *fakeEntry) { home.answer(nil) },
 			limit: 3500 * time.Millisecond,
 		},
 	}
 	for name, c := range cases {
-		t.Run(name, func(t *testing.T) {
-			synctest.Test(t, func(t *testing.T) {
-				w := newWorld(t, 1)
-				defer w.stop()
-				home, other := w.addEntry("entry-a"), w.addEntry("entry-b")
-				time.Sleep(10 * time.Second)
-				if len(home.messages()) == 0 {
-					home, other = other, home
-				}
-				assert.Equal(t, len(other.messages()), 0)
-				sequence := home.lastRow().GetSequence()
-				c.fail(w, home)
-				time.Sleep(c.limit)
-				assert.Assert(t, other.lastRow() != nil)
-				// The former home may report the row as lost under its last sequence.
-				assert.Equal(t, other.lastRow().GetSequence(), sequence+1, "a new stream has a newer row")
-				assert.Assert(t, w.agents[0].Ready())
-			})
+		inWorld(t, name, 1, func(t *testing.T, w *world) {
+			home, other := w.entries["entry-a"], w.addEntry("entry-b")
+			assert.Equal(t, len(other.messages()), 0)
+			sequence := home.lastRow().GetSequence()
+			c.fail(w, home)
+			time.Sleep(c.limit)
+			assert.Assert(t, other.lastRow() != nil)
+			// The former home may report the row as lost under its last sequence.
+			assert.Equal(t, other.lastRow().GetSequence(), sequence+1, "a new stream has a newer row")
+			assert.Assert(t, w.agents[0].Ready())
 		})
 	}
 }
@@ -118,10 +104,8 @@
 // Guards invariant 8: the version in force never goes down, needs its document,
 // and is reported back at once.
 func TestConfigNeverReverts(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		w := newWorld(t, 1)
-		defer w.stop()
-		e := w.addEntry("entry-a")
+	inWorld(t, "agents", 1, func(t *testing.T, w *world) {
+		e := w.entries["entry-a"]
 		answer := func(version int64, document string) {
 			e.answer(&inner.AnnounceReply{ConfigVersion: version, Document: []byte(document)})
 			time.Sleep(3 * time.Second)
@@ -132,45 +116,53 @@
 		assert.Equal(t, w.agents[0].ConfigVersion(), int64(4))
 		assert.Equal(t, string(w.agents[0].Document()), "four")
 		all := e.messages()
-		assert.Equal(t, all[len(all)-1].req.GetConfigVersion(), int64(4))
+		assert.Equal(t, all[len(all)-1].GetConfigVersion(), int64(4))
 	})
 }
 
-// Guards against a worker that still runs tasks of a former incarnation while
-// the new one offers its accelerators.
-func TestRestartCleansTheWorkerFirst(t *testing.T) {
+// Guards against a document that is in force unread: the agent reports the
+// version of a packed document once it has it, and leaves a stream on which it
+// cannot read one.
+func TestPackedDocument(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		w := newWorld(t, 1)
 		defer w.stop()
-		w.addEntry("entry-a")
-		time.Sleep(5 * time.Second)
-		w.launch(1, 1)
-		time.Sleep(time.Second)
-		w.agents[0].stopWork()
+		e := w.entries["entry-a"]
+		packed, err := pack.Pack([]byte("four"))
+		assert.NilError(t, err)
+		e.answer(&inner.AnnounceReply{ConfigVersion: 4, PackedDocument: packed})
+		time.Sleep(3 * time.Second)
+		assert.Equal(t, string(w.agents[0].Document()), "four")
+		sequence := e.lastRow().GetSequence()
+		e.answer(&inner.AnnounceReply{ConfigVersion: 5, PackedDocument: packed[:len(packed)-1]})
+		time.Sleep(3 * time.Second)
+		assert.Equal(t, w.agents[0].ConfigVersion(), int64(4))
+		assert.Equal(t, string(w.agents[0].Document()), "four")
+		assert.Assert(t, e.lastRow().GetSequence() > sequence, "a new stream has a newer row")
+	})
+}
+
+// Guards against a worker that still runs tasks of a former incarnation while
+// the new one offers its accelerators, or while its row says that they are gone.
+func TestRestartCleansTheWorkerFirst(t *testing.T) {
+	inWorld(t, "agents", 1, func(t *testing.T, w *world) {
 		w.cancels[0]()
 		<-w.done[0]
-		w.workers[0].mu.Lock()
-		w.workers[0].stopErr = errCut
-		w.workers[0].mu.Unlock()
-		spec := chestnutpond.TaskSpec{ID: "old.1.0", Lease: time.Hour}
+		w.workers[0].stopFails.Store(true)
+		spec := chestnutpond.TaskSpec{ID: "old.1.0", Lease: gangs.TaskLease, Payload: []byte(`{"run": "1h"}`)}
 		assert.NilError(t, w.workers[0].Start(t.Context(), spec))
-		e := w.addEntry("entry-b")
+		before := len(w.entries["entry-a"].messages())
 		w.boot(0, 2)
-		time.Sleep(5 * time.Second)
+		time.Sleep(gangs.TaskLease)
+		assert.Equal(t, len(w.entries["entry-a"].messages()), before)
+		time.Sleep(2 * time.Second)
+		assert.Equal(t, w.entries["entry-a"].lastRow().GetIncarnation(), int64(2))
+		assert.Equal(t, w.entries["entry-a"].lastRow().GetAccelerators(), int32(0))
 		reply, err := w.svc(0).Prepare(t.Context(), w.prepareReq(0, 2))
 		assert.NilError(t, err)
 		assert.Equal(t, reply.GetRefusal(), inner.Refusal_REFUSAL_NO_ACCELERATOR)
-		w.workers[0].mu.Lock()
-		w.workers[0].stopErr = nil
-		w.workers[0].mu.Unlock()
+		w.workers[0].stopFails.Store(false)
 		time.Sleep(2 * time.Second)
-		s, _ := w.workers[0].span("old.1.0")
-		assert.Assert(t, !s.open)
-		reply, err = w.svc(0).Prepare(t.Context(), w.prepareReq(0, 2))
-		assert.NilError(t, err)
-		assert.Assert(t, reply.GetHeld(), reply.GetReason())
-		if row := e.lastRow(); row != nil {
-			assert.Equal(t, row.GetAccelerators(), int32(8))
-		}
+		assert.Equal(t, w.entries["entry-a"].lastRow().GetAccelerators(), int32(8))
 	})
 }
--- a/internal/node/agent/worker.go
+++ b/internal/node/agent/worker.go
@@ -18,11 +18,9 @@
 // lets accelerators be reserved. Afterwards it follows the tasks.
 func (w *watcher) run(ctx context.Context) error {
 	began := time.Now()
-	ticker := time.NewTicker(gangs.BeatEvery)
-	defer ticker.Stop()
 	for {
 		if w.agent.gangs.Clean() {
-			// An error has been recorded by poll; the next tick tries again.
+			// After an error the next tick tries again.
 			_ = w.agent.poll(ctx)
 		} else {
 			w.clean(ctx)
@@ -31,10 +29,8 @@
 		w.agent.leaveIsolation(time.Now())
 		w.agent.gangs.Expire(time.Now())
 		w.agent.net.Sweep(time.Now())
-		select {
-		case <-ctx.Done():
+		if wait(ctx, time.Now().Add(gangs.BeatEvery), nil, nil) == ended {
 			return nil
-		case <-ticker.C:
 		}
 	}
 }
@@ -89,9 +85,10 @@
 	defer cancel()
 	asked := time.Now()
 	list, err := a.cfg.Worker.Tasks(ctx)
-	a.gangs.SetWorkerUp(err == nil)
+	if a.gangs.SetWorkerUp(err == nil) {
+		a.cfg.Log.Warn("agent: worker changed", "answers", err == nil, "error", err)
+	}
 	if err != nil {
-		a.cfg.Log.Warn("agent: worker does not answer", "error", err)
 		return err
 	}
 	for _, id := range a.gangs.Report(list, asked, time.Now()) {
--- a/internal/node/peers/group.go
+++ b/internal/node/peers/group.go
@@ -40,6 +40,11 @@
 	addressLimit = 256
 )
 
+// VouchLimit is how long an entry that reads no log and hears no majority of the
+// known entries still answers its agents. The scheduler of a region counts on it
+// before it restarts a gang that it cannot reach.
+const VouchLimit = 60 * time.Second
+
 // Dialer gives connections to other processes.
 type Dialer interface {
 	// Get returns a connection for one call and the function that ends the call.
@@ -76,6 +81,8 @@
 	cfg    Config
 	start  time.Time
 	meters *meters
+	// documents has a lock of its own, under which no other is taken.
+	documents packer
 
 	// mu guards the fields below. No other lock is taken under it.
 	mu    sync.Mutex
@@ -87,8 +94,12 @@
 	pollers map[string]*poller
 	// notices are the channels of the Announce streams, signalled when the
 	// stream has something to send.
-	notices  map[*session]struct{}
+	notices map[*session]struct{}
+	// streams are the newest Announce streams by the agent's name.
+	streams  map[string]*session
 	draining bool
+	// cutSince is since when this entry is cut off; zero while it is not.
+	cutSince time.Duration
 	// running is the context of Run; nil before it.
 	running context.Context
 }
@@ -104,6 +115,7 @@
 		changed: make(chan struct{}),
 		pollers: make(map[string]*poller),
 		notices: make(map[*session]struct{}),
+		streams: make(map[string]*session),
 	}
 }
 
@@ -187,19 +199,43 @@
 	return g.peers.Rank(region)
 }
 
-// Drain makes the agents look for another home.
+// Drain makes the agents look for another home, and tells the other entries that
+// this one leaves.
 func (g *Group) Drain() {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.draining = true
 	g.noticeAll()
+	g.bump()
+}
+
+// LogChanged wakes the Announce streams that have something to send: all after
+// a new document or a replaced state, and those of a job's agents after its
+// attempt was over. Other records come up to 60 times a second and tell agents
+// nothing; an answer to each would exceed the 4 KB/s of a node.
+func (g *Group) LogChanged(c ledger.Change) {
+	switch c.Kind {
+	case ledger.ChangeNone, ledger.ChangeConfig:
+		g.mu.Lock()
+		defer g.mu.Unlock()
+		g.noticeAll()
+	case ledger.ChangeStopped, ledger.ChangeEnded:
+		g.noticeJob(c.Job)
+	}
 }
 
-// LogChanged tells the agents' streams that the fold moved.
-func (g *Group) LogChanged(ledger.Change) {
+// noticeJob wakes the streams of the agents that the job's last attempt was
+// placed on.
+func (g *Group) noticeJob(id chestnutpond.JobID) {
+	var job ledger.Job
+	g.cfg.Tail.View(func(st *ledger.State) { job, _ = st.Job(id) })
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.noticeAll()
+	for _, p := range job.Placements {
+		if s, ok := g.streams[p.Worker]; ok {
+			s.notice()
+		}
+	}
 }
 
 // noticeAll wakes the Announce streams. The caller holds mu.
@@ -209,9 +245,34 @@
 	}
 }
 
+// vouches reports whether agents may rely on this entry: it reads the log and so
+// learns which attempts are over, or it is in touch with most of the entries.
+func (g *Group) vouches() bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.cutSince == 0 || g.Now()-g.cutSince < VouchLimit
+}
+
+// noteCut tells the group whether the log is read. The caller holds mu.
+func (g *Group) noteCut(now time.Duration, readsLog bool) {
+	if readsLog || g.peers.Majority() {
+		g.cutSince = 0
+		return
+	}
+	if g.cutSince == 0 {
+		g.cutSince = now
+		return
+	}
+	if now-g.cutSince >= VouchLimit {
+		g.noticeAll()
+	}
+}
+
 func (g *Group) expire() {
 	now := g.Now()
+	readsLog := g.cfg.Tail.Available()
 	g.mu.Lock()
+	g.noteCut(now, readsLog)
 	lostPeers := g.peers.Expire(now)
 	lost := g.table.Expire(now, g.peers.LostSince)
 	rows := g.rowsOf(lost)
--- a/internal/node/peers/home.go
+++ b/internal/node/peers/home.go
@@ -2,10 +2,13 @@
 
 import (
 	"fmt"
+	"slices"
+	"time"
 
 	"google.golang.org/grpc"
 	"google.golang.org/grpc/codes"
 	"google.golang.org/grpc/status"
+	"google.golang.org/protobuf/proto"
 	"google.golang.org/protobuf/types/known/durationpb"
 
 	"github.com/chestnutpond/chestnutpond"
@@ -28,8 +31,10 @@
 	name string
 	// version is the document version in force at the agent.
 	version int64
-	// sentVersion is the version of the last document sent on this stream.
-	sentVersion int64
+	// sentVersion, sentInterval and sentEntries are what this stream sent last.
+	sentVersion  int64
+	sentInterval time.Duration
+	sentEntries  []string
 }
 
 // Announce serves one agent until its stream ends.
@@ -63,6 +68,7 @@
 }
 
 func (s *session) serve() error {
+	var asked bool
 	for {
 		select {
 		case req, ok := <-s.received:
@@ -72,12 +78,17 @@
 			if !s.hear(req) {
 				return status.Error(codes.InvalidArgument, "the first message must carry the member row")
 			}
+			asked = true
 		case <-s.signal:
+			asked = false
 		}
 		if s.group.isDraining() {
 			return status.Error(codes.Unavailable, "entry is draining")
 		}
-		if err := s.send(); err != nil {
+		if !s.group.vouches() {
+			return status.Error(codes.Unavailable, "entry is cut off from the log and from most entries")
+		}
+		if err := s.send(asked); err != nil {
 			return err
 		}
 	}
@@ -101,11 +112,22 @@
 		s.group.heartbeat(s.name)
 		return true
 	}
-	s.name = m.GetName()
+	s.register(m.GetName())
 	s.group.hear(m)
 	return true
 }
 
+// register makes this the stream of the agent.
+func (s *session) register(name string) {
+	if s.name == name {
+		return
+	}
+	s.name = name
+	s.group.mu.Lock()
+	defer s.group.mu.Unlock()
+	s.group.streams[name] = s
+}
+
 func (g *Group) heartbeat(name string) {
 	now := g.Now()
 	g.mu.Lock()
@@ -150,42 +172,53 @@
 	}
 }
 
-// send answers with what the agent must know. An agent that did not announce
-// its row yet gets nothing.
-func (s *session) send() error {
+// send tells the agent what is new. Every message of the agent is answered, even
+// without news; a change of the log is not, because most changes concern other
+// agents. An agent that did not announce its row yet gets nothing.
+func (s *session) send(asked bool) error {
 	if s.name == "" {
 		return nil
 	}
-	return s.stream.Send(s.reply())
+	reply := s.reply()
+	if !asked && proto.Size(reply) == 0 {
+		return nil
+	}
+	return s.stream.Send(reply)
 }
 
+// reply holds only what changed since the last one on this stream, so that the
+// answer to a heartbeat is empty as a rule.
 func (s *session) reply() *inner.AnnounceReply {
 	g := s.group
 	g.mu.Lock()
 	interval := g.table.Interval()
 	row, known := g.table.Get(s.name)
 	g.mu.Unlock()
-	reply := &inner.AnnounceReply{
-		Heartbeat: durationpb.New(interval),
-		Entries:   g.addresses(),
+	reply := &inner.AnnounceReply{}
+	if interval != s.sentInterval {
+		s.sentInterval = interval
+		reply.Heartbeat = durationpb.New(interval)
+	}
+	if entries := g.addresses(); !slices.Equal(entries, s.sentEntries) {
+		s.sentEntries = entries
+		reply.Entries = entries
 	}
 	g.cfg.Tail.View(func(st *ledger.State) {
 		s.addConfig(reply, st)
 		if known {
 			reply.Release = endedTasks(row.Member, st)
+			reply.Over = overTasks(row.Member, st)
 		}
 	})
+	g.documents.shorten(reply)
 	return reply
 }
 
 func (s *session) addConfig(reply *inner.AnnounceReply, st *ledger.State) {
 	config, ok := st.Current()
-	if !ok {
-		return
-	}
-	reply.Service = config.Service
-	reply.ConfigVersion = config.Version
-	if config.Version > s.version && config.Version > s.sentVersion {
+	if ok && config.Version > s.version && config.Version > s.sentVersion {
+		reply.Service = config.Service
+		reply.ConfigVersion = config.Version
 		reply.Document = config.Document
 		s.sentVersion = config.Version
 	}
@@ -205,12 +238,37 @@
 		// A task of an attempt that the fold has not reached yet is kept.
 		ahead := ok && t.GetAttempt() > job.Attempt
 		if !open && !ahead {
-			ids = append(ids, fmt.Sprintf("%s.%d.%d", t.GetJob(), t.GetAttempt(), t.GetMember()))
+			ids = append(ids, taskID(t))
 		}
 	}
 	return ids
 }
 
+// overTasks returns the ids of the tasks of an agent that wait or run although
+// the log says that their attempt is over. A job that the fold does not know
+// may be ahead of it.
+func overTasks(m *inner.Member, st *ledger.State) []string {
+	var ids []string
+	for _, t := range m.GetTasks() {
+		if ended(t.GetState()) || t.GetState() == inner.TaskState_TASK_STATE_HELD {
+			continue
+		}
+		job, ok := st.Job(chestnutpond.JobID(t.GetJob()))
+		if !ok || t.GetAttempt() > job.Attempt {
+			continue
+		}
+		waits := job.State == chestnutpond.JobQueued
+		if t.GetAttempt() < job.Attempt || waits || job.State.Final() {
+			ids = append(ids, taskID(t))
+		}
+	}
+	return ids
+}
+
+func taskID(t *inner.Task) string {
+	return fmt.Sprintf("%s.%d.%d", t.GetJob(), t.GetAttempt(), t.GetMember())
+}
+
 func ended(s inner.TaskState) bool {
 	switch s {
 	case inner.TaskState_TASK_STATE_STOPPED, inner.TaskState_TASK_STATE_COMPLETED, inner.TaskState_TASK_STATE_FAILED:
@@ -231,5 +289,8 @@
 	g := s.group
 	g.mu.Lock()
 	delete(g.notices, s)
+	if g.streams[s.name] == s {
+		delete(g.streams, s.name)
+	}
 	g.mu.Unlock()
 }
--- a/internal/node/serve/fake_test.go
+++ b/internal/node/serve/fake_test.go
@@ -5,6 +5,7 @@
 	"errors"
 	"io"
 	"log/slog"
+	"math/rand/v2"
 	"sync"
 	"testing"
 	"time"
@@ -53,23 +54,34 @@
 	incarnation int64
 	// faults are used up call by call.
 	faults []fault
-	// runs counts executions by request.
+	// random draws a fault for each call when it is set.
+	random *rand.Rand
+	// runs counts executions by request, bodies by request body.
 	runs   map[string]int
+	bodies map[string]int
 	done   map[string]*inner.ServeReply
 	fenced map[string]bool
 	took   time.Duration
+	// refuseUntil is when the agent begins to take requests.
+	refuseUntil time.Time
 }
 
 func newAgent(name string, faults ...fault) *fakeAgent {
 	return &fakeAgent{
 		name: name, incarnation: 1, faults: faults, took: 10 * time.Millisecond,
-		runs: make(map[string]int), done: make(map[string]*inner.ServeReply), fenced: make(map[string]bool),
+		runs: make(map[string]int), bodies: make(map[string]int), done: make(map[string]*inner.ServeReply), fenced: make(map[string]bool),
 	}
 }
 
 func (a *fakeAgent) next() fault {
 	a.mu.Lock()
 	defer a.mu.Unlock()
+	if time.Now().Before(a.refuseUntil) {
+		return faultRefused
+	}
+	if a.random != nil && a.random.IntN(3) == 0 {
+		return fault(a.random.IntN(int(faultRestart) + 1))
+	}
 	if len(a.faults) == 0 {
 		return faultNone
 	}
@@ -90,6 +102,7 @@
 		return reply
 	}
 	a.runs[req.GetRequest()]++
+	a.bodies[string(req.GetBody())]++
 	reply.Outcome = inner.OutcomeCode_OUTCOME_CODE_ANSWERED
 	reply.Status = 200
 	reply.Body = []byte("answer to " + req.GetRequest())
