Processes keep their memory below 128 MB

Cause: the Go runtime lets garbage grow to the size of what is in use. Change: a soft memory limit of 104 MiB unless GOMEMLIMIT is set.

--- a/internal/test/scale/bench_test.go
+++ b/internal/test/scale/bench_test.go
@@ -154,7 +154,7 @@
 
 // folder appends bodies to a state.
 type folder struct {
-	b      *testing.B
+	b      testing.TB
 	state  *ledger.State
 	origin ledger.Origin
 }
@@ -187,7 +187,7 @@
 
 // targetState has the waiting jobs, the running jobs with all tasks and, if
 // bounded, as many ended jobs, intents and publications as the ledger keeps.
-func targetState(b *testing.B, waiting, running int, bounded bool) *ledger.State {
+func targetState(b testing.TB, waiting, running int, bounded bool) *ledger.State {
 	f := &folder{b: b, state: ledger.New(), origin: ledger.Origin{Process: "entry-0", Incarnation: 1 << 40}}
 	f.apply(ledger.Publish{ID: "p", Service: "cotizador", Document: document(510, 0)})
 	f.apply(ledger.ClaimTerm{Region: "pampa", Number: 1})
--- a/internal/test/scale/cluster_test.go
+++ b/internal/test/scale/cluster_test.go
@@ -264,7 +264,8 @@
 // appended returns the number of records in the log.
 func (c *cluster) appended() int64 {
 	var answer struct{ Next int64 }
-	err := call(http.MethodGet, c.logAddress+"/streams/scale/records?from=0&limit=1", "", nil, &answer)
+	// A read beyond the end tells the next offset and is never below the first.
+	err := call(http.MethodGet, fmt.Sprintf("%s/streams/scale/records?from=%d&limit=1", c.logAddress, int64(1)<<40), "", nil, &answer)
 	assert.NilError(c.t, err)
 	return answer.Next
 }
--- a/internal/test/scale/slopes_test.go
+++ b/internal/test/scale/slopes_test.go
@@ -42,6 +42,7 @@
 		if *fanIn {
 			t.Run("entries", measureEntries)
 			t.Run("gangs", measureGangs)
+			t.Run("start", measureStart)
 		}
 		for text := range strings.FieldsSeq(*sizes) {
 			t.Run("agents="+text, func(t *testing.T) { measure(t, int(number(text))) })
--- a/internal/tool/launch/launch.go
+++ b/internal/tool/launch/launch.go
@@ -4,9 +4,11 @@
 	"context"
 	"crypto/tls"
 	"log/slog"
+	"math"
 	"net/http"
 	"os"
 	"os/signal"
+	"runtime/debug"
 	"syscall"
 	"time"
 
@@ -33,6 +35,11 @@
 const (
 	headerTimeout = 10 * time.Second
 	closeLimit    = time.Second
+	// memoryTarget is what the Go runtime may hold before it collects garbage
+	// more often, in bytes. The text of the program and the rest of the 128 MB of
+	// a node come on top. Without it an entry that starts from a snapshot of the
+	// largest state takes 203 MB, of which 52 MB are in use.
+	memoryTarget = 104 << 20
 )
 
 // Commands returns the subcommands entry, agent and demo.
@@ -65,6 +72,10 @@
 }
 
 func newProcess(ctx context.Context, name string, level slog.Level, entries []string, creds *tls.Config) process {
+	// An operator's GOMEMLIMIT takes precedence.
+	if debug.SetMemoryLimit(-1) == math.MaxInt64 {
+		debug.SetMemoryLimit(memoryTarget)
+	}
 	incarnation := nextIncarnation(ctx, name, entries, creds)
 	return process{
 		incarnation: incarnation,
