Fixed flow-control windows on inner connections

Cause: gRPC sizes its windows by a ping for nearly every message that comes in, and an idle agent's heartbeats, beats and exchanges are all short messages far apart. Ruled out: longer intervals of heartbeats and exchanges, which lengthen the time to notice a loss. Change: windows of 256 KiB on all inner connections, which switches those pings off.

--- a/internal/node/agent/run.go
+++ b/internal/node/agent/run.go
@@ -13,6 +13,7 @@
 	"github.com/chestnutpond/chestnutpond"
 	"github.com/chestnutpond/chestnutpond/internal/core/slots"
 	"github.com/chestnutpond/chestnutpond/internal/node/links"
+	"github.com/chestnutpond/chestnutpond/internal/wire/conns"
 )
 
 const (
@@ -35,11 +36,11 @@
 )
 
 func newServer(cfg *tls.Config) *grpc.Server {
-	options := []grpc.ServerOption{
+	options := append(conns.ServerOptions(),
 		grpc.MaxRecvMsgSize(links.MaxMessage),
 		grpc.MaxSendMsgSize(links.MaxMessage),
 		grpc.KeepaliveParams(keepalive.ServerParameters{Time: probeAfter, Timeout: probeTimeout}),
-	}
+	)
 	if cfg != nil {
 		options = append(options, grpc.Creds(credentials.NewTLS(cfg)))
 	}
--- a/internal/node/dials/pool.go
+++ b/internal/node/dials/pool.go
@@ -15,6 +15,7 @@
 
 	"github.com/chestnutpond/chestnutpond"
 	"github.com/chestnutpond/chestnutpond/internal/obs/stats"
+	"github.com/chestnutpond/chestnutpond/internal/wire/conns"
 )
 
 // Error is the class of this package's errors.
@@ -124,7 +125,7 @@
 	if p.cfg.TLS != nil {
 		creds = credentials.NewTLS(p.cfg.TLS)
 	}
-	return []grpc.DialOption{
+	return append(conns.DialOptions(),
 		grpc.WithTransportCredentials(creds),
 		grpc.WithDisableServiceConfig(),
 		grpc.WithDisableRetry(),
@@ -133,7 +134,7 @@
 			MinConnectTimeout: dialTimeout,
 		}),
 		grpc.WithDefaultCallOptions(grpc.MaxCallRecvMsgSize(maxMessage), grpc.MaxCallSendMsgSize(maxMessage)),
-	}
+	)
 }
 
 // Run probes the connections until ctx ends, then closes them all.
--- a/internal/node/entry/entry.go
+++ b/internal/node/entry/entry.go
@@ -26,6 +26,7 @@
 	"github.com/chestnutpond/chestnutpond/internal/obs/events"
 	"github.com/chestnutpond/chestnutpond/internal/obs/slogs"
 	"github.com/chestnutpond/chestnutpond/internal/obs/stats"
+	"github.com/chestnutpond/chestnutpond/internal/wire/conns"
 	"github.com/chestnutpond/chestnutpond/internal/wire/inner"
 )
 
@@ -227,9 +228,9 @@
 }
 
 func (e *Entry) addInner(actors *run.Group) {
-	options := []grpc.ServerOption{
+	options := append(conns.ServerOptions(),
 		grpc.MaxRecvMsgSize(maxInnerMessage), grpc.MaxSendMsgSize(maxInnerMessage),
-	}
+	)
 	if e.cfg.ServerTLS != nil {
 		options = append(options, grpc.Creds(credentials.NewTLS(e.cfg.ServerTLS)))
 	}
--- a/internal/node/links/links.go
+++ b/internal/node/links/links.go
@@ -20,6 +20,7 @@
 	"google.golang.org/grpc/credentials/insecure"
 	"google.golang.org/grpc/status"
 
+	"github.com/chestnutpond/chestnutpond/internal/wire/conns"
 	"github.com/chestnutpond/chestnutpond/internal/wire/inner"
 )
 
@@ -53,12 +54,12 @@
 	}
 	return &Dialer{
 		conns: map[string]*conn{},
-		options: []grpc.DialOption{
+		options: append(conns.DialOptions(),
 			grpc.WithTransportCredentials(creds),
 			grpc.WithDefaultCallOptions(
 				grpc.MaxCallRecvMsgSize(MaxMessage), grpc.MaxCallSendMsgSize(MaxMessage),
 			),
-		},
+		),
 	}
 }
 
