--- a/internal/core/fleet/table.go
+++ b/internal/core/fleet/table.go
@@ -31,6 +31,8 @@
 	Lost bool
 	// LostAt is when Lost was set.
 	LostAt time.Duration
+	// Since is when this entry got the member's newest row.
+	Since time.Duration
 	// Heard is when the home heard the agent, or when this entry got the row.
 	Heard time.Duration
 
@@ -83,7 +85,7 @@
 	if known && !newer(m, old.Member) {
 		return t.refresh(now, old, m, home)
 	}
-	row := &Row{Member: m, Home: home, Heard: now}
+	row := &Row{Member: m, Home: home, Since: now, Heard: now}
 	t.replace(m.GetName(), row, now, m.GetLost())
 	return true
 }
--- a/internal/node/agent/announce_test.go
+++ b/internal/node/agent/announce_test.go
@@ -101,6 +101,42 @@
 	}
 }
 
+// Guards against an agent of a large fleet, where the heartbeat interval is long,
+// that waits three intervals on each entry that it cannot reach.
+func TestSilentEntriesAreLeftSoon(t *testing.T) {
+	names := []string{"entry-a", "entry-b", "entry-c", "entry-d"}
+	for _, live := range names {
+		t.Run(live, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				w := newWorld(t, 1)
+				defer w.stop()
+				entries := map[string]*fakeEntry{"entry-a": w.entries["entry-a"]}
+				for _, name := range names[1:] {
+					entries[name] = w.addEntry(name)
+				}
+				for name, e := range entries {
+					slow := &inner.AnnounceReply{Heartbeat: durationpb.New(20 * time.Second), Entries: names}
+					if len(e.messages()) > 0 {
+						e.answer(slow)
+						time.Sleep(2 * time.Second)
+					}
+					if name != live {
+						slow = nil
+					}
+					e.answer(slow)
+				}
+				before := len(entries[live].messages())
+				for _, e := range entries {
+					e.breakAll()
+				}
+				time.Sleep(20 * time.Second)
+				assert.Assert(t, len(entries[live].messages()) > before)
+				assert.Assert(t, w.agents[0].Ready())
+			})
+		})
+	}
+}
+
 // Guards invariant 8: the version in force never goes down, needs its document,
 // and is reported back at once.
 func TestConfigNeverReverts(t *testing.T) {
--- a/internal/node/peers/group.go
+++ b/internal/node/peers/group.go
@@ -30,6 +30,9 @@
 	exchangeRetryLate = 3 * time.Second
 	retrySoonFor      = 30 * time.Second
 	expireEvery       = 200 * time.Millisecond
+	// unknownGrace is how long an ended task of an unknown job is kept. It is far
+	// above the time in which an entry that reads the log learns of the job.
+	unknownGrace = time.Minute
 	// forgetAfter is how long a lost agent or entry stays in the table.
 	forgetAfter = 2 * time.Hour
 	// followFor is how long the address of an entry is tried without an answer,
--- a/internal/node/peers/home.go
+++ b/internal/node/peers/home.go
@@ -203,10 +203,13 @@
 		s.sentEntries = entries
 		reply.Entries = entries
 	}
+	// A job that the fold does not know may be ahead of it, until the log has
+	// been read for long enough after the row came.
+	settled := g.cfg.Tail.Available() && g.Now()-row.Since > unknownGrace
 	g.cfg.Tail.View(func(st *ledger.State) {
 		s.addConfig(reply, st)
 		if known {
-			reply.Release = endedTasks(row.Member, st)
+			reply.Release = endedTasks(row.Member, st, settled)
 			reply.Over = overTasks(row.Member, st)
 		}
 	})
@@ -225,14 +228,18 @@
 }
 
 // endedTasks returns the ids of the ended tasks of an agent whose end the log
-// knows, so that the agent may forget them.
-func endedTasks(m *inner.Member, st *ledger.State) []string {
+// knows, so that the agent may forget them. A task of a job that the fold does
+// not know is kept, unless settled says that the fold would know a live job.
+func endedTasks(m *inner.Member, st *ledger.State, settled bool) []string {
 	var ids []string
 	for _, t := range m.GetTasks() {
 		if !ended(t.GetState()) {
 			continue
 		}
 		job, ok := st.Job(chestnutpond.JobID(t.GetJob()))
+		if !ok && !settled {
+			continue
+		}
 		current := ok && job.Attempt == t.GetAttempt()
 		open := current && !job.State.Final() && job.State != chestnutpond.JobQueued
 		// A task of an attempt that the fold has not reached yet is kept.
