Harness: pause waits until the process is stopped; failed job checks show runs

Cause: TestHarness/paused failed once in a run beside other work: after SIGSTOP was sent, the stand-ins answered once more, and the test had no way to tell that from a signal without effect. The same run of TestBadWorker found a job that completed twice and printed nothing that explains it.

Ruled out: a longer wait after the signal (no bound is right on a busy machine).

Change: pause polls /proc for the state of the process. checkRunsAndJobs prints runs and events when a job did not complete exactly once.

--- a/internal/test/proof/caller_test.go
+++ b/internal/test/proof/caller_test.go
@@ -288,19 +288,10 @@
 			newest[name] = max(newest[name], list[len(list)-1])
 		}
 		for _, n := range f.nodes() {
-			if !n.ended() && newest[n.name] < version {
+			if !n.process.ended() && newest[n.name] < version {
 				return fmt.Sprintf("%s has version %d", n.name, newest[n.name])
 			}
 		}
 		return ""
 	})
 }
-
-func (n *node) ended() bool {
-	select {
-	case <-n.process.done:
-		return true
-	default:
-		return false
-	}
-}
--- a/internal/test/proof/chaos_test.go
+++ b/internal/test/proof/chaos_test.go
@@ -49,8 +49,8 @@
 	return []fault{
 		{"kill " + entry.name, entry.process.kill, entry.start},
 		{"kill " + agent.name, agent.process.kill, agent.start},
-		{"pause " + entry.name, plain(entry.process.pause), plain(entry.process.resume)},
-		{"pause " + agent.name, plain(agent.process.pause), plain(agent.process.resume)},
+		{"pause " + entry.name, entry.process.pause, plain(entry.process.resume)},
+		{"pause " + agent.name, agent.process.pause, plain(agent.process.resume)},
 		{"silent log at " + entry.name, path.silence, path.heal},
 		{"cut log at " + entry.name, plain(path.cut), path.restore},
 		{"outage of the log", logSwitch(`{"outage": true}`), logSwitch(`{"outage": false}`)},
--- a/internal/test/proof/fault_test.go
+++ b/internal/test/proof/fault_test.go
@@ -161,7 +161,7 @@
 	before := observer.submit(t, "before", gangSize, `{"run": "5s"}`)
 	observer.waitJob(t, before, chestnutpond.JobRunning)
 	paused := time.Now()
-	former.process.pause()
+	former.process.pause(t)
 	during := observer.submit(t, "during", gangSize, `{"run": "5s"}`)
 	_, next := f.waitScheduler(t, observer, former)
 	assert.Assert(t, next > term, "term %d after term %d", next, term)
--- a/internal/test/proof/path_test.go
+++ b/internal/test/proof/path_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"net/http"
 	"sync"
 	"testing"
 	"time"
@@ -11,7 +12,11 @@
 	"github.com/chestnutpond/chestnutpond"
 )
 
-const gangSize = 2 * 8
+const (
+	gangSize = 2 * 8
+	// clock is how a failure shows times.
+	clock = "15:04:05.000"
+)
 
 // together runs the calls at the same time and returns what their callers saw.
 func together(calls ...func() caller) []caller {
@@ -49,7 +54,14 @@
 	}
 	assert.Check(t, checkGangs(runs))
 	assert.Check(t, checkOverlap(runs))
-	assert.Check(t, checkJobs(jobs, states, runs))
+	if !assert.Check(t, checkJobs(jobs, states, runs)) {
+		for _, r := range runs {
+			t.Logf("run %s on worker %s from %s to %s: %s", r.Task, r.Worker,
+				r.Start.Format(clock), r.End.Format(clock), r.Reason)
+		}
+		events, err := observer.call(http.MethodGet, "/v1/events?limit=10000", operatorToken, nil, nil)
+		t.Logf("events: %s, %v", events.body, err)
+	}
 }
 
 // Guards against a wrong, missing or second answer on the ordinary path, a gang
--- a/internal/test/proof/process_test.go
+++ b/internal/test/proof/process_test.go
@@ -122,9 +122,36 @@
 	}
 }
 
-func (p *process) pause()  { p.signal(syscall.SIGSTOP) }
+// pause returns once the process is stopped: on a busy machine it may answer
+// once more after the signal was sent.
+func (p *process) pause(t *testing.T) {
+	t.Helper()
+	p.signal(syscall.SIGSTOP)
+	until(t, p.name+" stopped", func() string {
+		stat, err := os.ReadFile(fmt.Sprintf("/proc/%d/stat", p.cmd.Process.Pid))
+		if err != nil || p.ended() {
+			return ""
+		}
+		// The state follows the name of the program in parentheses.
+		_, rest, _ := strings.Cut(string(stat), ") ")
+		if !strings.HasPrefix(rest, "T") {
+			return "state " + rest[:1]
+		}
+		return ""
+	})
+}
+
 func (p *process) resume() { p.signal(syscall.SIGCONT) }
 
+func (p *process) ended() bool {
+	select {
+	case <-p.done:
+		return true
+	default:
+		return false
+	}
+}
+
 func (p *process) text() string {
 	data, _ := os.ReadFile(p.output)
 	return string(data)
--- a/internal/test/proof/recover_test.go
+++ b/internal/test/proof/recover_test.go
@@ -58,7 +58,7 @@
 	job := observer.submit(t, "job", gangSize, `{"run": "6s"}`)
 	view := observer.waitJob(t, job, chestnutpond.JobRunning)
 	agent := f.agentOf(view.Members[0].Worker)
-	agent.process.pause()
+	agent.process.pause(t)
 	until(t, "second attempt", func() string {
 		if view = observer.job(t, job); view.Attempt < 2 || view.State != chestnutpond.JobRunning {
 			return fmt.Sprintf("%+v", view)
@@ -285,7 +285,7 @@
 func TestAgentLostWithOpenRequests(t *testing.T) {
 	cases := map[string]func(t *testing.T, agent *node){
 		"killed": func(t *testing.T, agent *node) { agent.process.kill(t) },
-		"paused": func(_ *testing.T, agent *node) { agent.process.pause() },
+		"paused": func(t *testing.T, agent *node) { agent.process.pause(t) },
 	}
 	for name, lose := range cases {
 		t.Run(name, func(t *testing.T) {
--- a/internal/test/proof/standins_test.go
+++ b/internal/test/proof/standins_test.go
@@ -122,7 +122,7 @@
 		"silent": {func() { path.silence(t) }, func() { path.heal(t) }},
 		"slow":   {func() { path.slow(t, 2*time.Second) }, func() { path.heal(t) }},
 		"cut":    {path.cut, func() { path.restore(t) }},
-		"paused": {s.process.pause, s.process.resume},
+		"paused": {func() { s.process.pause(t) }, s.process.resume},
 	}
 	for name, fault := range faults {
 		t.Run(name, func(t *testing.T) {
