--- a/internal/core/place/config.go
+++ b/internal/core/place/config.go
@@ -5,8 +5,8 @@
 // Config configures a Core. Zero values of the tunables mean their defaults.
 type Config struct {
 	Region string
-	// Seed selects among equally good places, so that two regions or two terms
-	// do not load the same workers first.
+	// Seed has no effect yet: among equally good places the worker that was
+	// announced first wins.
 	Seed uint64
 
 	// StandardShare and BulkShare are the percentages of the region's
