Placement: wake up for reservations whose borrowers run too short

Cause: once the patience of a reservation is over, NextWake named no time, and a borrower that had not run long enough was looked at again only with the next event. Ruled out: a wake at the exact time for each borrower, which needs a scan. Change: one wake a second while a reservation waits longer than its patience.

--- a/internal/core/place/decide.go
+++ b/internal/core/place/decide.go
@@ -95,8 +95,9 @@
 		}
 	}
 	for _, j := range c.claims {
-		if at := j.reserved + c.cfg.ReservationPatience; !j.guaranteed && at > c.now {
-			add(at)
+		if !j.guaranteed {
+			// Borrowers that have not run long enough are looked at again.
+			add(max(j.reserved+c.cfg.ReservationPatience, c.now+searchRetry))
 		}
 	}
 	return wake, ok
