--- a/internal/core/admit/queue.go
+++ b/internal/core/admit/queue.go
@@ -52,11 +52,18 @@
 	tag float64
 	// mean is the moving average of the service time over all kinds, in seconds.
 	mean float64
+	// used is the usual service of all accounts.
+	used usage
+	// start is when the first request came, once it has.
+	start   time.Duration
+	started bool
 	// known counts the callers in memory; idle lists those without requests,
 	// oldest first.
 	known               int
 	idleFirst, idleLast *caller
 	meanWeight          float64
+	// present is the number of accounts in the document.
+	present int
 }
 
 // New returns an empty queue. Until the first SetDocument it refuses everything.
@@ -99,20 +106,38 @@
 	if _, ok := q.items[it.ID]; ok {
 		return q.refuse(chestnutpond.ReasonInProgress, 0)
 	}
-	l := q.lane(it.Kind, it.Class)
-	s := a.share(l)
+	if !q.started {
+		q.started, q.start = true, now
+	}
 	c := a.callers[it.Caller]
-	w := &waiter{item: it, at: now, giveUp: q.giveUp(now, it, l), deadlineAt: -1}
-	wait := q.wait(now, s, c)
-	if w.giveUp >= 0 && now+wait >= w.giveUp {
-		return q.refuse(chestnutpond.ReasonDeadline, wait)
+	if c == nil {
+		c = q.addCaller(a, now, it.Caller)
 	}
-	if c != nil && c.waiting >= q.callerLimit(a) {
-		return q.refuse(chestnutpond.ReasonCallerLimit, wait)
+	// The caller must not be forgotten while others are displaced.
+	q.unidle(c)
+	v := q.offer(now, a, c, it)
+	q.settle(c)
+	return v
+}
+
+// offer admits or refuses a request of a known caller.
+func (q *Queue) offer(now time.Duration, a *account, c *caller, it Item) Verdict {
+	l := q.lane(it.Kind, it.Class, false)
+	if !q.takesUsual(now, c, l.work) {
+		l = q.lane(it.Kind, it.Class, true)
 	}
-	victims, ok := q.room(a, l, c)
-	if !ok {
-		return q.refuse(chestnutpond.ReasonQueueFull, wait)
+	s := a.share(l)
+	w := &waiter{item: it, giveUp: q.giveUp(now, it, l), deadlineAt: -1}
+	wait := q.wait(now, s, c)
+	victims, reason := q.room(a, l, c)
+	if w.giveUp >= 0 && (w.giveUp <= now || wait >= time.Duration(q.cfg.Patience*float64(w.giveUp-now))) {
+		reason = chestnutpond.ReasonDeadline
+	}
+	if reason != "" {
+		if !l.surplus {
+			c.habit(now, l.work).tokens += l.work.mean
+		}
+		return q.refuse(reason, wait)
 	}
 	v := Verdict{Admitted: true}
 	for _, f := range victims {
@@ -121,9 +146,6 @@
 		q.forget(last)
 		v.Displaced = append(v.Displaced, last.item)
 	}
-	if c = a.callers[it.Caller]; c == nil {
-		c = q.addCaller(a, it.Caller)
-	}
 	q.seq++
 	w.seq = q.seq
 	w.flow = c.flow(s, q.seq)
@@ -170,6 +192,7 @@
 func (q *Queue) expire(now time.Duration) {
 	for q.deadline.len() > 0 && q.deadline.top().giveUp <= now {
 		w := q.deadline.top()
+		w.flow.share.elapse(now)
 		q.detach(w)
 		w.expired = true
 		q.expired = append(q.expired, w)
@@ -186,6 +209,7 @@
 	if len(doc.Accounts) > 0 {
 		q.meanWeight = float64(sum) / float64(len(doc.Accounts))
 	}
+	q.present = len(doc.Accounts)
 	keep := map[string]bool{}
 	for _, d := range doc.Accounts {
 		keep[d.Name] = true
@@ -203,13 +227,25 @@
 	for _, k := range doc.Kinds {
 		q.kinds[k.Name] = true
 	}
-	unused := func(l *lane) bool { return !q.kinds[l.kind] && l.n == 0 }
-	q.lanes = slices.DeleteFunc(q.lanes, unused)
+	q.dropKinds()
 	for name, a := range q.accounts {
-		a.shares = slices.DeleteFunc(a.shares, func(s *share) bool { return unused(s.lane) })
 		if !keep[name] {
 			a.limit = 0
 			q.dropAccount(a)
 		}
 	}
 }
+
+// dropKinds forgets what is known of kinds that are not in the document any more
+// and of which nothing waits.
+func (q *Queue) dropKinds() {
+	unused := func(w *work) bool { return !q.kinds[w.kind] && w.n == 0 }
+	q.lanes = slices.DeleteFunc(q.lanes, func(l *lane) bool { return unused(l.work) })
+	for _, a := range q.accounts {
+		a.shares = slices.DeleteFunc(a.shares, func(s *share) bool { return unused(s.lane.work) })
+		a.totals = slices.DeleteFunc(a.totals, func(h *habit) bool { return unused(h.work) })
+		for _, c := range a.callers {
+			c.habits = slices.DeleteFunc(c.habits, func(h *habit) bool { return unused(h.work) })
+		}
+	}
+}
--- a/internal/core/gangs/drive.go
+++ b/internal/core/gangs/drive.go
@@ -1,6 +1,7 @@
 package gangs
 
 import (
+	"strings"
 	"time"
 
 	"google.golang.org/protobuf/types/known/durationpb"
@@ -86,6 +87,7 @@
 			return
 		}
 		task.phase, task.startedAt, task.renewAt = running, now, now.Add(BeatEvery)
+		task.renewed = task.called
 		if err != nil {
 			// The worker may run the task all the same.
 			task.quit(inner.TaskState_TASK_STATE_FAILED, "start on the worker: "+err.Error(), now)
@@ -95,18 +97,16 @@
 
 // Renewed reports that a renewal reached the worker.
 func (t *Table) Renewed(key Key, now time.Time) {
-	t.update(key, now, func(task *task) { task.lapses = later(task.lapses, now.Add(TaskLease)) })
+	t.update(key, now, func(task *task) {
+		task.lapses, task.renewed = later(task.lapses, now.Add(TaskLease)), task.called
+	})
 }
 
-// Gone reports that the worker does not run the task and has no end of it.
+// Gone reports that the worker refused a renewal because it does not run the
+// task. The task is stopped all the same before its accelerators are free.
 func (t *Table) Gone(key Key, now time.Time) {
 	t.update(key, now, func(task *task) {
-		switch task.phase {
-		case running:
-			task.finish(inner.TaskState_TASK_STATE_STOPPED, "the worker no longer runs the task", now)
-		case stopping:
-			task.finish(task.end, task.reason, now)
-		}
+		task.quit(inner.TaskState_TASK_STATE_STOPPED, "the worker no longer runs the task", now)
 	})
 }
 
@@ -139,7 +139,9 @@
 }
 
 // Report takes the worker's list of tasks, asked for at the time asked. It
-// returns the ids that the worker should drop: they ended, or are not known.
+// returns the ids that the worker should drop: they ended without a result, or
+// are not known. A completed task stays on the worker until its end is in the
+// log, so that a new incarnation of the agent finds the result.
 func (t *Table) Report(list []chestnutpond.TaskStatus, asked, now time.Time) []chestnutpond.TaskID {
 	t.mu.Lock()
 	known := make(map[chestnutpond.TaskID]*task, len(t.tasks))
@@ -154,7 +156,7 @@
 		if ok {
 			changed = t.apply(k, now, func(k *task) { k.report(status, now) }) || changed
 		}
-		if !ok || k.phase == ended {
+		if !ok || k.phase == ended && k.end != inner.TaskState_TASK_STATE_COMPLETED {
 			drop = append(drop, status.ID)
 		}
 	}
@@ -180,6 +182,10 @@
 	}
 	switch status.Phase {
 	case chestnutpond.TaskCompleted:
+		if len(status.Result) > MaxResult {
+			t.finish(inner.TaskState_TASK_STATE_FAILED, "the result is too long", now)
+			return
+		}
 		t.result = status.Result
 		t.finish(inner.TaskState_TASK_STATE_COMPLETED, "", now)
 	case chestnutpond.TaskFailed:
@@ -188,7 +194,8 @@
 			t.finish(t.end, t.reason, now)
 			return
 		}
-		t.finish(inner.TaskState_TASK_STATE_FAILED, status.Reason, now)
+		reason := strings.ToValidUTF8(status.Reason[:min(len(status.Reason), MaxReason)], "")
+		t.finish(inner.TaskState_TASK_STATE_FAILED, reason, now)
 	case chestnutpond.TaskStopped:
 		end, reason := inner.TaskState_TASK_STATE_STOPPED, "the worker stopped the task"
 		if t.phase == stopping {
@@ -216,8 +223,9 @@
 	if !ok || task.over {
 		return Beat{}, false
 	}
-	if task.phase == ended && now.Sub(task.whole) >= GangLease {
-		// The leader has stopped the gang by now, or is gone.
+	if task.phase == ended && now.Sub(later(task.whole, task.endedAt)) >= GangLease {
+		// The leader knows of the end by now, or has stopped the gang because the
+		// member was silent, or is gone.
 		task.over = true
 		return Beat{}, false
 	}
@@ -229,8 +237,11 @@
 	beat := Beat{Every: every, Request: &inner.BeatRequest{
 		Job: key.Job, Attempt: key.Attempt, Member: key.Member,
 		Agent: t.cfg.Name, Incarnation: t.cfg.Incarnation,
-		State: task.state(), Sequence: task.sequence, Saved: task.saved,
+		State: task.beatState(), Sequence: task.sequence, Saved: task.saved, Echo: task.echo,
 	}}
+	if task.echo > 0 {
+		beat.Request.Since = durationpb.New(now.Sub(task.answered))
+	}
 	for _, m := range task.commit.GetGang() {
 		if m.GetMember() == 0 {
 			beat.Leader = m
--- a/internal/core/gangs/gangs.go
+++ b/internal/core/gangs/gangs.go
@@ -20,6 +20,8 @@
 
 import (
 	"fmt"
+	"strconv"
+	"strings"
 	"time"
 
 	"github.com/chestnutpond/chestnutpond"
@@ -44,6 +46,9 @@
 	// CallLimit bounds one call to the worker or to the leader. A longer call
 	// would exceed the 500 ms that the bound of a partial gang allows for it.
 	CallLimit = 500 * time.Millisecond
+	// IsolationLimit is how long an agent that no entry answers keeps its tasks.
+	// The wait before the restart of a gang that cannot be reached counts on it.
+	IsolationLimit = 20 * time.Second
 	// StopRetry is the pause before a failed stop call is repeated.
 	StopRetry = 100 * time.Millisecond
 )
@@ -62,6 +67,11 @@
 	// MaxEnded bounds the ended tasks that wait for their release. When that
 	// many completed or failed, Prepare is refused, so that no result is lost.
 	MaxEnded = 1024
+	// MaxResult bounds the result of a task in bytes. A longer one fails the
+	// task, because a row with many of them could not be sent. MaxReason bounds
+	// the worker's reason, of which the rest is cut off.
+	MaxResult = 16 << 10
+	MaxReason = 1 << 10
 	// MaxStopped bounds the stopped tasks that wait for their release; the
 	// oldest is dropped first, because a stopped task has no result.
 	MaxStopped = 256
@@ -79,6 +89,23 @@
 	return chestnutpond.TaskID(fmt.Sprintf("%s.%d.%d", k.Job, k.Attempt, k.Member))
 }
 
+// ParseTask returns the key of a task id on the worker.
+func ParseTask(id chestnutpond.TaskID) (Key, bool) {
+	parts := strings.Split(string(id), ".")
+	if len(parts) != 3 {
+		return Key{}, false
+	}
+	attempt, err := strconv.ParseInt(parts[1], 10, 64)
+	if err != nil {
+		return Key{}, false
+	}
+	member, err := strconv.ParseInt(parts[2], 10, 32)
+	if err != nil {
+		return Key{}, false
+	}
+	return Key{Job: parts[0], Attempt: attempt, Member: int32(member)}, true
+}
+
 // Verdict is the answer to Prepare and Commit.
 type Verdict struct {
 	OK      bool
--- a/internal/node/agent/serve.go
+++ b/internal/node/agent/serve.go
@@ -33,24 +33,29 @@
 	select {
 	case <-attempt.Done():
 		reply := attempt.Reply()
-		s.agent.countReply(req, reply)
+		s.agent.countReply(req, reply, fresh)
 		return reply, nil
 	case <-ctx.Done():
 		return nil, status.FromContextError(ctx.Err()).Err()
 	}
 }
 
-// countReply records a refusal or an answer.
-func (a *Agent) countReply(req *inner.ServeRequest, reply *inner.ServeReply) {
+// countReply counts a refusal or an answer. Refusals for lack of a slot are not
+// recorded as events, because a flood of them would push all others out of the
+// ring; neither are answers to repeats.
+func (a *Agent) countReply(req *inner.ServeRequest, reply *inner.ServeReply, fresh bool) {
 	e := chestnutpond.Event{Request: req.GetRequest(), Account: req.GetAccount()}
 	if reply.GetOutcome() == inner.OutcomeCode_OUTCOME_CODE_NOT_RUN {
 		a.meters.refused.Inc(1)
 		e.Kind, e.Detail = chestnutpond.EventRefused, reply.GetReason()
+		fresh = reply.GetRefusal() != inner.Refusal_REFUSAL_NO_SLOT
 	} else {
 		a.meters.served.Inc(1)
 		e.Kind, e.Detail = chestnutpond.EventServed, reply.GetOutcome().String()
 	}
-	a.record(e)
+	if fresh {
+		a.record(e)
+	}
 }
 
 // serveAttempt runs an admitted attempt on the upstream.
@@ -97,21 +102,13 @@
 // Resolve tells what became of an attempt. An attempt that runs is waited for.
 func (s *service) Resolve(ctx context.Context, req *inner.ResolveRequest) (*inner.ServeReply, error) {
 	attempt := s.agent.slots.Resolve(req.GetAttempt(), req.GetFence(), time.Now())
-	timer := time.NewTimer(max(req.GetWait().AsDuration(), 0))
-	defer timer.Stop()
-	select {
-	case <-attempt.Done():
+	switch wait(ctx, time.Now().Add(req.GetWait().AsDuration()), attempt.Done(), nil) {
+	case first:
 		return attempt.Reply(), nil
-	case <-ctx.Done():
+	case ended:
 		return nil, status.FromContextError(ctx.Err()).Err()
-	case <-timer.C:
-	}
-	select {
-	case <-attempt.Done():
-		return attempt.Reply(), nil
-	default:
-		return s.agent.slots.Running(attempt), nil
 	}
+	return s.agent.slots.Running(attempt), nil
 }
 
 // Ping answers a probe of the connection that it came on.
@@ -134,6 +131,7 @@
 	if v.OK {
 		s.agent.record(chestnutpond.Event{
 			Kind: chestnutpond.EventPrepared, Job: chestnutpond.JobID(req.GetJob()), Attempt: req.GetAttempt(),
+			Cause: chestnutpond.EventID(req.GetCause()),
 		})
 	}
 	return &inner.PrepareReply{Held: v.OK, Refusal: v.Refusal, Reason: v.Reason}, nil
@@ -152,6 +150,7 @@
 
 // Stop ends a task and waits for its end as long as the caller does.
 func (s *service) Stop(ctx context.Context, req *inner.StopRequest) (*inner.StopReply, error) {
+	s.agent.events.Follow(chestnutpond.JobID(req.GetJob()), chestnutpond.EventID(req.GetCause()))
 	stop := s.agent.gangs.Stop(req, time.Now())
 	if stop.Done == nil {
 		return stop.Reply, nil
--- a/internal/node/peers/group.go
+++ b/internal/node/peers/group.go
@@ -12,6 +12,7 @@
 	"github.com/chestnutpond/chestnutpond/internal/core/fleet"
 	"github.com/chestnutpond/chestnutpond/internal/core/ledger"
 	"github.com/chestnutpond/chestnutpond/internal/node/tail"
+	"github.com/chestnutpond/chestnutpond/internal/obs/stats"
 	"github.com/chestnutpond/chestnutpond/internal/wire/inner"
 )
 
@@ -24,19 +25,32 @@
 	// before its peer counts as lost.
 	exchangeTimeout = exchangeWait + time.Second
 	exchangeRetry   = 300 * time.Millisecond
-	expireEvery     = 200 * time.Millisecond
-	// forgetAfter is how long a lost agent stays in the table.
+	// exchangeRetryLate is the pause once an entry has not answered for
+	// retrySoonFor: most such addresses belong to hosts that were replaced.
+	exchangeRetryLate = 3 * time.Second
+	retrySoonFor      = 30 * time.Second
+	expireEvery       = 200 * time.Millisecond
+	// forgetAfter is how long a lost agent or entry stays in the table.
 	forgetAfter = 2 * time.Hour
+	// followFor is how long the address of an entry is tried without an answer,
+	// unless it is in the settings. Hosts of entries are replaced at any time, so
+	// without it the known addresses would reach addressLimit.
+	followFor = 10 * time.Minute
 	// addressLimit bounds the known addresses of entries.
 	addressLimit = 256
 )
 
+// VouchLimit is how long an entry that reads no log and hears no majority of the
+// known entries still answers its agents. The scheduler of a region counts on it
+// before it restarts a gang that it cannot reach.
+const VouchLimit = 60 * time.Second
+
 // Dialer gives connections to other processes.
 type Dialer interface {
 	// Get returns a connection for one call and the function that ends the call.
 	Get(address string) (grpc.ClientConnInterface, func(), error)
-	// Replace closes the connection to address.
-	Replace(address string)
+	// Replace closes a connection that Get returned for the address.
+	Replace(address string, conn grpc.ClientConnInterface)
 }
 
 // Listener hears about changed rows. Calls hold no lock of the group and come
@@ -59,12 +73,14 @@
 	Listener Listener
 	Events   chestnutpond.EventSink
 	Logger   *slog.Logger
+	Metrics  *stats.Registry
 }
 
 // Group is the membership of one entry.
 type Group struct {
-	cfg   Config
-	start time.Time
+	cfg    Config
+	start  time.Time
+	meters *meters
 	// documents has a lock of its own, under which no other is taken.
 	documents packer
 
@@ -82,6 +98,10 @@
 	// streams are the newest Announce streams by the agent's name.
 	streams  map[string]*session
 	draining bool
+	// cutSince is since when this entry is cut off; zero while it is not.
+	cutSince time.Duration
+	// running is the context of Run; nil before it.
+	running context.Context
 }
 
 // New returns a group that knows only itself.
@@ -89,6 +109,7 @@
 	return &Group{
 		cfg:     cfg,
 		start:   time.Now(),
+		meters:  newMeters(cfg.Metrics),
 		table:   fleet.New(fleet.Config{Self: cfg.Self.Name}),
 		peers:   fleet.NewPeers(fleet.PeersConfig{Self: cfg.Self, LostAfter: peerLost}),
 		changed: make(chan struct{}),
@@ -103,8 +124,11 @@
 
 // Run polls the other entries and expires silent agents until ctx ends.
 func (g *Group) Run(ctx context.Context) error {
+	g.mu.Lock()
+	g.running = ctx
+	g.mu.Unlock()
 	for _, address := range g.cfg.Entries {
-		g.follow(ctx, address)
+		g.follow(address)
 	}
 	ticker := time.NewTicker(expireEvery)
 	defer ticker.Stop()
@@ -175,12 +199,14 @@
 	return g.peers.Rank(region)
 }
 
-// Drain makes the agents look for another home.
+// Drain makes the agents look for another home, and tells the other entries that
+// this one leaves.
 func (g *Group) Drain() {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.draining = true
 	g.noticeAll()
+	g.bump()
 }
 
 // LogChanged wakes the Announce streams that have something to send: all after
@@ -219,13 +245,39 @@
 	}
 }
 
+// vouches reports whether agents may rely on this entry: it reads the log and so
+// learns which attempts are over, or it is in touch with most of the entries.
+func (g *Group) vouches() bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.cutSince == 0 || g.Now()-g.cutSince < VouchLimit
+}
+
+// noteCut tells the group whether the log is read. The caller holds mu.
+func (g *Group) noteCut(now time.Duration, readsLog bool) {
+	if readsLog || g.peers.Majority() {
+		g.cutSince = 0
+		return
+	}
+	if g.cutSince == 0 {
+		g.cutSince = now
+		return
+	}
+	if now-g.cutSince >= VouchLimit {
+		g.noticeAll()
+	}
+}
+
 func (g *Group) expire() {
 	now := g.Now()
+	readsLog := g.cfg.Tail.Available()
 	g.mu.Lock()
+	g.noteCut(now, readsLog)
 	lostPeers := g.peers.Expire(now)
 	lost := g.table.Expire(now, g.peers.LostSince)
 	rows := g.rowsOf(lost)
 	forgotten := g.table.Forget(now, forgetAfter)
+	g.peers.Forget(now, forgetAfter)
 	if len(lost) > 0 {
 		g.bump()
 	}
--- a/internal/node/sched/fake_test.go
+++ b/internal/node/sched/fake_test.go
@@ -58,9 +58,21 @@
 	entries map[string]*entry
 	cuts    []cut
 	calls   map[step]int
+	// blind is how long a new entry hears of no agent.
+	blind time.Duration
+	// runTime is how long each task runs.
+	runTime time.Duration
 	// starts and ends count the runs of each task.
 	starts map[string]int
 	ends   map[string]int
+	// started counts the starts of each entry.
+	started map[string]int64
+	// overlaps lists tasks that started while another attempt of the job ran.
+	overlaps []string
+	// bad are the workers on which every task fails.
+	bad map[string]bool
+	// saveTime is the time of a stop with a checkpoint.
+	saveTime time.Duration
 }
 
 type agent struct {
@@ -68,23 +80,34 @@
 	fenced map[string]int64
 	holds  map[string]time.Time
 	dead   bool
+	// cut means that no entry reaches the agent, since cutAt.
+	cut   bool
+	cutAt time.Duration
+	// noSave makes its tasks stop without a checkpoint.
+	noSave bool
 }
 
 type entry struct {
-	world   *world
-	name    string
-	tail    *tail.Tail
-	manager *Manager
-	dead    bool
-	stop    context.CancelFunc
-	running sync.WaitGroup
+	world       *world
+	name        string
+	ring        *events.Ring
+	trail       *events.Trail
+	metrics     *stats.Registry
+	tail        *tail.Tail
+	manager     *Manager
+	dead        bool
+	incarnation int64
+	// blindUntil is when the entry begins to hear of agents.
+	blindUntil time.Time
+	stop       context.CancelFunc
+	running    sync.WaitGroup
 }
 
 func newWorld(t *testing.T, cuts ...cut) *world {
 	w := &world{
-		t: t, log: stand.NewLog("s"), start: time.Now(), cuts: cuts,
+		t: t, log: stand.NewLog("s"), start: time.Now(), cuts: cuts, runTime: runTime,
 		agents: make(map[string]*agent), entries: make(map[string]*entry), calls: make(map[step]int),
-		starts: make(map[string]int), ends: make(map[string]int),
+		started: make(map[string]int64), starts: make(map[string]int), ends: make(map[string]int),
 	}
 	for i := range 6 {
 		name := fmt.Sprintf("w%d", i)
@@ -102,15 +125,21 @@
 func (w *world) addEntry(name string) *entry {
 	logger := slog.New(slog.NewTextHandler(io.Discard, nil))
 	ring := events.New(events.Config{Process: name})
-	origin := ledger.Origin{Process: name, Incarnation: 1}
-	e := &entry{world: w, name: name}
+	w.mu.Lock()
+	w.started[name]++
+	origin := ledger.Origin{Process: name, Incarnation: w.started[name]}
+	w.mu.Unlock()
+	e := &entry{
+		world: w, name: name, incarnation: origin.Incarnation, blindUntil: time.Now().Add(w.blind),
+		ring: ring, trail: events.NewTrail(ring), metrics: stats.New(),
+	}
 	e.tail = tail.New(tail.Config{
 		Log: w.log, Origin: origin, Events: ring, Logger: logger, Metrics: stats.New(),
-		OnChange: func(c ledger.Change) { e.manager.LogChanged(c) },
+		OnChange: e.logChanged,
 	})
 	e.manager = New(Config{
 		Origin: origin, Region: "pampa", Seed: 1, Tail: e.tail, Members: e, Dialer: e,
-		Events: ring, Logger: logger, Metrics: stats.New(),
+		Events: e.trail, Logger: logger, Metrics: e.metrics,
 	})
 	e.manager.SetDocument(document)
 	ctx, cancel := context.WithCancel(w.t.Context())
@@ -124,6 +153,14 @@
 	return e
 }
 
+// logChanged records accepted jobs as the process around the manager does.
+func (e *entry) logChanged(c ledger.Change) {
+	if c.Kind == ledger.ChangeAccepted {
+		e.trail.Add(chestnutpond.Event{Kind: chestnutpond.EventAccepted, Job: c.Job})
+	}
+	e.manager.LogChanged(c)
+}
+
 // kill ends an entry without a handover.
 func (e *entry) kill() {
 	e.world.mu.Lock()
@@ -154,6 +191,13 @@
 	}
 }
 
+// appendWithin gives up after a time.
+func (e *entry) appendWithin(d time.Duration, body ledger.Body) error {
+	ctx, cancel := context.WithTimeout(e.world.t.Context(), d)
+	defer cancel()
+	return e.tail.Append(ctx, body)
+}
+
 func (e *entry) state(id string) (state chestnutpond.JobState) {
 	e.tail.View(func(st *ledger.State) {
 		j, _ := st.Job(chestnutpond.JobID(id))
@@ -170,8 +214,11 @@
 	e.world.mu.Lock()
 	defer e.world.mu.Unlock()
 	var rows []fleet.Row
+	if time.Now().Before(e.blindUntil) {
+		return nil
+	}
 	for _, a := range e.world.agents {
-		rows = append(rows, fleet.Row{Member: a.member, Lost: a.dead})
+		rows = append(rows, fleet.Row{Member: a.member, Lost: a.dead || a.cut, LostAt: a.cutAt})
 	}
 	sort.Slice(rows, func(i, j int) bool { return rows[i].Member.GetName() < rows[j].Member.GetName() })
 	return rows
@@ -192,7 +239,7 @@
 	var peers []fleet.Peer
 	for name, other := range e.world.entries {
 		if name != e.name {
-			peers = append(peers, fleet.Peer{Name: name, Incarnation: 1, Region: "pampa", Lost: other.dead})
+			peers = append(peers, fleet.Peer{Name: name, Incarnation: other.incarnation, Region: "pampa", Lost: other.dead})
 		}
 	}
 	return peers
@@ -235,7 +282,7 @@
 func (w *world) call(address string, args any) (proto.Message, error) {
 	w.mu.Lock()
 	a := w.agents[address]
-	dead := a.dead
+	dead := a.dead || a.cut
 	var s step
 	switch args.(type) {
 	case *inner.PrepareRequest:
@@ -258,6 +305,9 @@
 	case *inner.CommitRequest:
 		res = w.commit(a, req)
 	case *inner.StopRequest:
+		if req.GetCheckpoint().AsDuration() > 0 {
+			time.Sleep(w.saveTime)
+		}
 		res = w.stopTask(a, req)
 	}
 	if after {
@@ -305,9 +355,13 @@
 	})
 	if w.allCommitted(req) {
 		for _, m := range req.GetGang() {
-			w.move(m.GetAgent(), req.GetJob(), req.GetAttempt(), inner.TaskState_TASK_STATE_RUNNING)
+			state := inner.TaskState_TASK_STATE_RUNNING
+			if w.bad[m.GetAgent()] {
+				state = inner.TaskState_TASK_STATE_FAILED
+			}
+			w.move(m.GetAgent(), req.GetJob(), req.GetAttempt(), state)
 		}
-		time.AfterFunc(runTime, func() { w.complete(req) })
+		time.AfterFunc(w.runTime, func() { w.complete(req) })
 	}
 	return &inner.CommitReply{Committed: true}
 }
@@ -350,7 +404,11 @@
 		w.move(a.member.GetName(), req.GetJob(), req.GetAttempt(), inner.TaskState_TASK_STATE_STOPPED)
 		w.breakGang(req.GetJob(), req.GetAttempt())
 	}
-	return &inner.StopReply{Stopped: true, State: t.GetState(), Checkpoint: "c"}
+	reply := &inner.StopReply{Stopped: true, State: t.GetState()}
+	if !a.noSave {
+		reply.Checkpoint = "c"
+	}
+	return reply
 }
 
 // breakGang lets the other members stop by themselves after the gang lease.
@@ -394,12 +452,35 @@
 	}
 	if state == inner.TaskState_TASK_STATE_RUNNING {
 		w.starts[taskKey(old)]++
+		w.noteOverlap(old)
 	}
 	t := proto.Clone(old).(*inner.Task)
 	t.State = state
 	w.setTask(w.agents[name], t)
 }
 
+// noteOverlap notes a start while another attempt of the job still runs.
+func (w *world) noteOverlap(task *inner.Task) {
+	for _, a := range w.agents {
+		for _, t := range a.member.GetTasks() {
+			other := t.GetJob() == task.GetJob() && t.GetAttempt() != task.GetAttempt()
+			if other && !a.dead && t.GetState() == inner.TaskState_TASK_STATE_RUNNING {
+				w.overlaps = append(w.overlaps, taskKey(task)+" with "+taskKey(t))
+			}
+		}
+	}
+}
+
+// names returns the agents' names in order.
+func (w *world) names() []string {
+	var names []string
+	for name := range w.agents {
+		names = append(names, name)
+	}
+	sort.Strings(names)
+	return names
+}
+
 // setTask stores a task in a new row and tells the entries. The caller holds mu.
 func (w *world) setTask(a *agent, task *inner.Task) {
 	m := proto.Clone(a.member).(*inner.Member)
@@ -419,7 +500,7 @@
 func (w *world) tell(name string) {
 	w.mu.Lock()
 	a := w.agents[name]
-	row := fleet.Row{Member: a.member, Lost: a.dead}
+	row := fleet.Row{Member: a.member, Lost: a.dead || a.cut, LostAt: a.cutAt}
 	var live []*entry
 	for _, e := range w.entries {
 		if !e.dead {
--- a/internal/node/sched/halt.go
+++ b/internal/node/sched/halt.go
@@ -26,7 +26,6 @@
 // halter collects the members' answers to a stop.
 type halter struct {
 	attempt *attempt
-	began   time.Time
 
 	// mu guards the fields below; no other lock is taken under it.
 	mu sync.Mutex
@@ -40,7 +39,7 @@
 // halt stops all members and waits until each one is surely stopped. It returns
 // false when the term ends first.
 func (a *attempt) halt(ctx context.Context, checkpoint time.Duration, reason string) (halted, bool) {
-	h := &halter{attempt: a, began: time.Now(), sure: make(map[int]bool), done: make(map[int]*inner.StopReply)}
+	h := &halter{attempt: a, sure: make(map[int]bool), done: make(map[int]*inner.StopReply)}
 	for ctx.Err() == nil {
 		_ = a.each(ctx, checkpoint+stopGrace, func(
 			ctx context.Context, agent inner.AgentClient, p chestnutpond.Placement,
@@ -97,6 +96,7 @@
 	members := h.attempt.region.m.cfg.Members
 	row, ok := members.Row(p.Worker)
 	if ok && row.Member.GetIncarnation() > p.Incarnation {
+		h.noteFound(row, p)
 		return true
 	}
 	h.mu.Lock()
@@ -105,10 +105,18 @@
 	if !confirmed.IsZero() && time.Since(confirmed) > gangGone {
 		return true
 	}
-	if ok && row.Lost && members.Now()-row.LostAt > unreachableGone {
-		return true
+	return h.attempt.isGone(row, ok)
+}
+
+// noteFound keeps the result that a new incarnation of the agent found.
+func (h *halter) noteFound(row fleet.Row, p chestnutpond.Placement) {
+	task, found := h.attempt.taskOf(row, p)
+	if !found {
+		return
 	}
-	return time.Since(h.began) > unreachableGone && (!ok || row.Lost)
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.done[p.Member] = &inner.StopReply{Stopped: true, State: task.GetState(), Result: task.GetResult()}
 }
 
 func (h *halter) result() halted {
@@ -223,6 +231,10 @@
 		err := g.region.m.cfg.Tail.Append(actx, body)
 		cancel()
 		if err == nil {
+			g.region.m.cfg.Events.Add(chestnutpond.Event{
+				Kind: chestnutpond.EventEnded, Job: g.job, Attempt: g.attempt,
+				Detail: string(chestnutpond.JobImpossible) + " " + g.reason,
+			})
 			return
 		}
 		pause(ctx)
--- a/internal/node/serve/send.go
+++ b/internal/node/serve/send.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/cespare/xxhash/v2"
+	"google.golang.org/protobuf/proto"
 	"google.golang.org/protobuf/types/known/durationpb"
 
 	"github.com/chestnutpond/chestnutpond"
@@ -39,21 +40,34 @@
 
 // serve sends a request until it is answered, or must not be sent again.
 func (s *Server) serve(ctx context.Context, r Request, deadline time.Duration) Result {
-	target, refused := s.acquire(ctx, r, deadline)
+	w := &waiter{kind: r.Kind.Name, bytes: len(r.Body), granted: make(chan grant, 1)}
+	target, refused := s.acquire(ctx, r, w, deadline)
 	if refused != nil {
 		return *refused
 	}
 	began := s.now()
 	defer func() { s.done(r, s.now()-began) }()
 	var tried []string
+	retries := 0
 	for number := 1; ; number++ {
-		tried = append(tried, target)
 		v := s.attempt(r, target, number, deadline)
 		res := resultOf(v, target)
 		if res.Outcome == chestnutpond.OutcomeAnswered {
 			return res
 		}
-		delay, again := s.retry(r, v, number, deadline)
+		if v.notRun() && v.refusal != inner.Refusal_REFUSAL_DEADLINE {
+			// Other entries took the slot first, or the agent leaves. The request
+			// keeps its place in the queue until its deadline.
+			target, refused = s.putBack(ctx, r, w)
+			if refused != nil {
+				return *refused
+			}
+			began = s.now()
+			continue
+		}
+		retries++
+		tried = append(tried, target)
+		delay, again := s.retry(r, v, retries, deadline)
 		if !again {
 			return res
 		}
@@ -110,6 +124,9 @@
 		return refusal(inner.Refusal_REFUSAL_DEADLINE, "deadline passed before the request was sent")
 	}
 	call.Timeout = durationpb.New(left)
+	if row.Member.GetRegion() != s.cfg.Region {
+		s.meters.farSent.Inc(int64(proto.Size(call)))
+	}
 	reply, err := s.call(address, call, left)
 	if err == nil && whole(call, reply) {
 		return verdict{outcome: reply.GetOutcome(), refusal: reply.GetRefusal(), reply: reply, reason: reply.GetReason()}
@@ -180,7 +197,7 @@
 		Attempt: call.GetAttempt(), Fence: true, Wait: durationpb.New(wait),
 	})
 	if ctx.Err() != nil {
-		s.cfg.Dialer.Replace(address)
+		s.cfg.Dialer.Replace(address, conn)
 	}
 	if err == nil && reply.GetRequest() == "" {
 		// An agent that never saw the attempt does not know its request.
