--- a/internal/node/agent/announce_test.go
+++ b/internal/node/agent/announce_test.go
@@ -106,33 +106,27 @@
 func TestSilentEntriesAreLeftSoon(t *testing.T) {
 	names := []string{"entry-a", "entry-b", "entry-c", "entry-d"}
 	for _, live := range names {
-		t.Run(live, func(t *testing.T) {
-			synctest.Test(t, func(t *testing.T) {
-				w := newWorld(t, 1)
-				defer w.stop()
-				entries := map[string]*fakeEntry{"entry-a": w.entries["entry-a"]}
-				for _, name := range names[1:] {
-					entries[name] = w.addEntry(name)
+		inWorld(t, live, 1, func(t *testing.T, w *world) {
+			entries := map[string]*fakeEntry{names[0]: w.entries[names[0]]}
+			for _, name := range names[1:] {
+				entries[name] = w.addEntry(name)
+			}
+			for name, e := range entries {
+				if len(e.messages()) > 0 {
+					e.answer(&inner.AnnounceReply{Heartbeat: durationpb.New(20 * time.Second), Entries: names})
+					time.Sleep(time.Second)
 				}
-				for name, e := range entries {
-					slow := &inner.AnnounceReply{Heartbeat: durationpb.New(20 * time.Second), Entries: names}
-					if len(e.messages()) > 0 {
-						e.answer(slow)
-						time.Sleep(2 * time.Second)
-					}
-					if name != live {
-						slow = nil
-					}
-					e.answer(slow)
+				if name != live {
+					e.answer(nil)
 				}
-				before := len(entries[live].messages())
-				for _, e := range entries {
-					e.breakAll()
-				}
-				time.Sleep(20 * time.Second)
-				assert.Assert(t, len(entries[live].messages()) > before)
-				assert.Assert(t, w.agents[0].Ready())
-			})
+			}
+			before := len(entries[live].messages())
+			for _, e := range entries {
+				e.breakAll()
+			}
+			time.Sleep(20 * time.Second)
+			assert.Assert(t, len(entries[live].messages()) > before)
+			assert.Assert(t, w.agents[0].Ready())
 		})
 	}
 }
