A task that completed is not stopped

Cause: a reclaim that reached the agent between the end of a task and the next look at the worker's list deleted the completed task, and the job ran again (found by TestBadWorker of the proof package under load).

Ruled out: a shorter interval of the list (the gap only shrinks); trusting the checkpoint (the job would repeat its last part and finish twice).

Change: the driver asks the worker's list before each stop call.

Before: TestStopAfterCompletion reported stopped. After: completed, with its result. What is left is a task that completes between the two calls.

--- a/internal/node/agent/stop_test.go
+++ b/internal/node/agent/stop_test.go
@@ -7,6 +7,7 @@
 	"google.golang.org/protobuf/types/known/durationpb"
 	"gotest.tools/v3/assert"
 
+	"github.com/chestnutpond/chestnutpond"
 	"github.com/chestnutpond/chestnutpond/internal/test/stand"
 	"github.com/chestnutpond/chestnutpond/internal/wire/inner"
 )
@@ -184,3 +185,24 @@
 		})
 	}
 }
+
+// Guards against a result that is lost because the task completed a moment before
+// the stop, and the agent had not seen it yet: the job would run again.
+func TestStopAfterCompletion(t *testing.T) {
+	for name, checkpoint := range map[string]time.Duration{"at once": 0, "with a checkpoint": time.Second} {
+		inWorld(t, name, 1, func(t *testing.T, w *world) {
+			w.run = func(int) stand.TaskPayload { return stand.TaskPayload{Run: stand.Duration(1100 * time.Millisecond)} }
+			w.launch(1)
+			for {
+				if r, ok := w.workers[0].run(taskID(0)); ok && r.Phase == chestnutpond.TaskCompleted {
+					break
+				}
+				time.Sleep(time.Millisecond)
+			}
+			reply, err := w.svc(0).Stop(t.Context(), w.stopReq(0, 1, checkpoint, true))
+			assert.NilError(t, err)
+			assert.Equal(t, reply.GetState(), inner.TaskState_TASK_STATE_COMPLETED)
+			assert.Equal(t, reply.GetResult(), "ok")
+		})
+	}
+}
--- a/internal/node/agent/task.go
+++ b/internal/node/agent/task.go
@@ -91,6 +91,9 @@
 		d.renewed(ctx, worker.Renew(call, task, gangs.TaskLease))
 	case gangs.Stop:
 		d.noteLapse(step.Reason)
+		if d.hasEnded(call) {
+			return
+		}
 		err := worker.Stop(call, task)
 		table.Stopped(d.key, err, time.Now())
 		if err != nil {
@@ -99,6 +102,21 @@
 	}
 }
 
+// hasEnded asks the worker whether the task ended by itself before it is stopped.
+// A result that the agent has not seen yet would be lost with the stop, and the
+// job would run again.
+func (d *driver) hasEnded(ctx context.Context) bool {
+	lctx, cancel := context.WithTimeout(ctx, gangs.CallLimit/2)
+	defer cancel()
+	asked := time.Now()
+	list, err := d.agent.cfg.Worker.Tasks(lctx)
+	if err != nil {
+		return false
+	}
+	d.agent.gangs.Report(list, asked, time.Now())
+	return d.agent.gangs.StopReply(d.key, false).GetStopped()
+}
+
 // renewed reports a renewal. When the worker does not run the task, its list
 // tells whether the task ended by itself.
 func (d *driver) renewed(ctx context.Context, err error) {
