A document is not refused while a fleet announces itself

Ruled out: no check at all (a guarantee that can never be covered would pass unseen); a check in the fold (it would depend on membership).

Change: a region is judged only when its accelerators have not changed for 5 s.

After: TestPublishWhileAgentsArrive passes, and over-commitment is still refused.

Conclusion: the answer does not depend on who announced itself first.

--- a/internal/node/entry/document.go
+++ b/internal/node/entry/document.go
@@ -52,13 +52,11 @@
 }
 
 // overcommitted says which region has fewer accelerators than the document
-// guarantees there. A region without known workers is left out, so that the
-// first document can be published before the first agent announces itself.
+// guarantees there. A region without known workers, or whose workers are just
+// announcing themselves, is left out: the answer must not depend on who came
+// first. A guarantee without a cell is then seen in the status and its alarm.
 func (e *Entry) overcommitted(doc chestnutpond.Document) string {
-	have := make(map[string]int)
-	for _, row := range e.group.Rows() {
-		have[row.Member.GetRegion()] += int(row.Member.GetAccelerators())
-	}
+	have := e.settledAccelerators()
 	want := make(map[string]int)
 	for _, a := range doc.Accounts {
 		for _, g := range a.Guarantees {
@@ -72,6 +70,23 @@
 	return ""
 }
 
+// settledAccelerators returns the accelerators of the regions whose sum has not
+// changed for a while.
+func (e *Entry) settledAccelerators() map[string]int {
+	have := make(map[string]int)
+	for _, row := range e.group.Rows() {
+		have[row.Member.GetRegion()] += int(row.Member.GetAccelerators())
+	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	for region, at := range e.fleetChanged {
+		if time.Since(at) < e.cfg.FleetSettle {
+			delete(have, region)
+		}
+	}
+	return have
+}
+
 func (e *Entry) publish(c echo.Context, body ledger.Publish) error {
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(c.Request().Context()), acceptTimeout)
 	defer cancel()
--- a/internal/node/entry/entry.go
+++ b/internal/node/entry/entry.go
@@ -43,6 +43,9 @@
 	drainLimit = 30 * time.Second
 	// closeLimit bounds the closing of the listeners after that.
 	closeLimit = 2 * time.Second
+	// fleetSettle is above the time in which the agents of a fleet that starts
+	// announce themselves.
+	fleetSettle = 5 * time.Second
 	// headerTimeout bounds the reading of a request's header.
 	headerTimeout = 10 * time.Second
 	// keepaliveAfter and keepaliveTimeout end connections that went silent. Their
@@ -83,6 +86,9 @@
 	Events        *events.Ring
 	Metrics       *stats.Registry
 	Logs          *slogs.Log
+	// FleetSettle is how long the accelerators of a region must be unchanged
+	// before a document is refused for guaranteeing more; zero means 5 s.
+	FleetSettle time.Duration
 	// ServerTLS and ClientTLS secure the inner protocol; nil means plaintext.
 	ServerTLS *tls.Config
 	ClientTLS *tls.Config
@@ -109,7 +115,11 @@
 	// mu guards the fields below; no other lock is taken under it.
 	mu       sync.Mutex
 	document chestnutpond.Document
-	raw      []byte
+	// accelerators holds those of each agent, fleetChanged when the sum of a
+	// region changed last.
+	accelerators map[string]int32
+	fleetChanged map[string]time.Time
+	raw          []byte
 }
 
 // New binds the listeners and wires the parts. It fails when an address cannot
@@ -127,7 +137,11 @@
 	if cfg.Advertise == "" {
 		cfg.Advertise = in.Addr().String()
 	}
+	if cfg.FleetSettle == 0 {
+		cfg.FleetSettle = fleetSettle
+	}
 	e := &Entry{
+		accelerators: make(map[string]int32), fleetChanged: make(map[string]time.Time),
 		cfg: cfg, log: cfg.Logs.Logger("entry"), outer: outer, inner: in,
 		events: events.NewTrail(cfg.Events),
 		origin: ledger.Origin{Process: cfg.Name, Incarnation: cfg.Incarnation},
@@ -264,34 +278,6 @@
 	})
 }
 
-// drainAfter waits for ctx, then hands over what this entry has.
-func (e *Entry) drainAfter(ctx, work context.Context) error {
-	select {
-	case <-ctx.Done():
-	case <-work.Done():
-		return nil
-	}
-	e.log.Info("entry: draining")
-	e.cfg.Events.Add(chestnutpond.Event{Kind: chestnutpond.EventDraining})
-	e.stopping.Store(true)
-	limit, cancel := context.WithTimeout(work, drainLimit)
-	defer cancel()
-	e.sched.Drain(limit)
-	pause(limit, noticeTime)
-	e.group.Drain()
-	e.serve.Drain(limit)
-	return nil
-}
-
-func pause(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-timer.C:
-	}
-}
-
 // Ready reports whether the entry can take work.
 func (e *Entry) Ready() bool {
 	return !e.stopping.Load() && e.tail.Loaded() && e.ConfigVersion() > 0
@@ -310,12 +296,28 @@
 
 // AgentChanged passes a row on to the parts.
 func (e *Entry) AgentChanged(row fleet.Row) {
+	e.noteFleet(row)
 	e.serve.AgentChanged(row)
 	e.sched.AgentChanged(row)
 }
 
+// noteFleet notes when the accelerators of a region changed.
+func (e *Entry) noteFleet(row fleet.Row) {
+	name, count := row.Member.GetName(), row.Member.GetAccelerators()
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if old, known := e.accelerators[name]; known && old == count {
+		return
+	}
+	e.accelerators[name] = count
+	e.fleetChanged[row.Member.GetRegion()] = time.Now()
+}
+
 // AgentForgotten tells the parts that an agent left the table.
 func (e *Entry) AgentForgotten(name string) {
+	e.mu.Lock()
+	delete(e.accelerators, name)
+	e.mu.Unlock()
 	e.serve.AgentForgotten(name)
 	e.sched.AgentForgotten(name)
 }
--- a/internal/node/entry/entry_test.go
+++ b/internal/node/entry/entry_test.go
@@ -5,8 +5,10 @@
 	"encoding/hex"
 	"fmt"
 	"net/http"
+	"strings"
 	"sync"
 	"testing"
+	"time"
 
 	"gotest.tools/v3/assert"
 
@@ -165,3 +167,22 @@
 	assert.Equal(t, refused.status, http.StatusServiceUnavailable, refused.text)
 	assert.Equal(t, refused.Reason, chestnutpond.ReasonDraining)
 }
+
+// TestPublishWhileAgentsArrive guards against a valid document that is refused
+// because only some of the agents have announced themselves.
+func TestPublishWhileAgentsArrive(t *testing.T) {
+	w := newWorld(t)
+	w.settleFleet(time.Hour)
+	w.open()
+	w.addAgent("worker-1", "rack-1")
+	more := strings.Replace(documentText, "count: 1", "count: 3", 1)
+	assert.Equal(t, w.publish(1, more).status, http.StatusOK)
+	w.settleFleet(time.Nanosecond)
+	assert.Equal(t, w.publish(2, more).status, http.StatusUnprocessableEntity)
+}
+
+func (w *world) settleFleet(d time.Duration) {
+	w.entry.mu.Lock()
+	defer w.entry.mu.Unlock()
+	w.entry.cfg.FleetSettle = d
+}
