--- a/internal/test/proof/chaos_test.go
+++ b/internal/test/proof/chaos_test.go
@@ -1,6 +1,7 @@
 package proof
 
 import (
+	"flag"
 	"fmt"
 	"math/rand/v2"
 	"slices"
@@ -13,10 +14,12 @@
 	"github.com/chestnutpond/chestnutpond"
 )
 
-const (
-	chaosSeed  = 7
-	chaosSteps = 10
-	callerPace = 25 * time.Millisecond
+const callerPace = 25 * time.Millisecond
+
+// A soak takes more steps, about 4 s each, or other seeds.
+var (
+	chaosSeed  = flag.Uint64("proof.seed", 7, "seed of TestRandomFaults")
+	chaosSteps = flag.Int("proof.steps", 10, "steps of two faults in TestRandomFaults")
 )
 
 // chaos is a run of random faults under load.
@@ -109,15 +112,15 @@
 // Guards against combinations of faults that no single test has: random ones
 // under load, two at a time, with everything in force and complete at the end.
 func TestRandomFaults(t *testing.T) {
-	t.Logf("seed %d", chaosSeed)
-	c := &chaos{f: startFleet(t), rng: rand.New(rand.NewPCG(chaosSeed, 1)), stop: make(chan struct{})}
+	t.Logf("seed %d", *chaosSeed)
+	c := &chaos{f: startFleet(t), rng: rand.New(rand.NewPCG(*chaosSeed, 1)), stop: make(chan struct{})}
 	for i := range 6 {
-		rng := rand.New(rand.NewPCG(chaosSeed, uint64(i+2)))
+		rng := rand.New(rand.NewPCG(*chaosSeed, uint64(i+2)))
 		c.running.Go(func() { c.call(i, rng) })
 	}
 	var history []publication
 	texts := map[string]string{}
-	for step := range chaosSteps {
+	for step := range *chaosSteps {
 		size, run := 8*(1+c.rng.IntN(rackSize)), 1+c.rng.IntN(4)
 		c.running.Go(func() { c.submit(fmt.Sprintf("job-%d", step), size, fmt.Sprintf(`{"run": "%ds"}`, run)) })
 		history = append(history, c.step(t, step, texts))
@@ -125,7 +128,7 @@
 	until(t, "acceptance of all jobs", func() string {
 		c.mu.Lock()
 		defer c.mu.Unlock()
-		if open := chaosSteps - len(c.jobs); open > 0 {
+		if open := *chaosSteps - len(c.jobs); open > 0 {
 			return fmt.Sprintf("%d open", open)
 		}
 		return ""
