Checkers of histories in a package of their own

Cause: the checkers are pure functions that other tests can use, but stood in the test files of the process tests.

--- a/internal/test/proof/check_test.go
+++ b/internal/test/check/check.go
@@ -1,4 +1,12 @@
-package proof
+// Package check has checkers of recorded histories: what the workers ran, what
+// the callers were told, which versions the processes had, and how publications
+// ended. Each returns an error that lists every violation of a promise of
+// section 1.2 of the design page.
+//
+// The checkers look from outside the processes under test. They are pure
+// functions, so that they can be tested with hand-made histories that they must
+// reject.
+package check
 
 import (
 	"errors"
@@ -15,54 +23,55 @@
 	"github.com/chestnutpond/chestnutpond/internal/test/stand"
 )
 
-// gangBound is the longest time that a part of a gang may run without the
+// GangBound is the longest time that a part of a gang may run without the
 // whole: gang_lease 2.5 s, task_lease 2 s and one stop call 0.5 s.
-const gangBound = 5 * time.Second
+const GangBound = 5 * time.Second
 
-// caller is one request as its caller saw it.
-type caller struct {
-	// body is the hash of the request body; requests with the same body are
+// Caller is one request as its caller saw it.
+type Caller struct {
+	// Body is the hash of the request body; requests with the same body are
 	// repeats of each other.
-	body       string
-	idempotent bool
-	outcome    chestnutpond.Outcome
-	// echo is the answer's body, if the outcome is answered.
-	echo stand.Echo
-	want stand.Echo
+	Body       string
+	Idempotent bool
+	Outcome    chestnutpond.Outcome
+	// Echo is the answer's body, if the outcome is answered.
+	Echo stand.Echo
+	Want stand.Echo
 }
 
-// publication is one publication as its operator saw it.
-type publication struct {
-	id      string
-	base    int64
-	call    time.Duration
-	back    time.Duration
-	outcome chestnutpond.Outcome
-	// version is the own one if published, the winner's if lost.
-	version int64
+// Publication is one publication as its operator saw it.
+type Publication struct {
+	ID      string
+	Base    int64
+	Call    time.Duration
+	Back    time.Duration
+	Outcome chestnutpond.Outcome
+	// Version is the own one if published, the winner's if lost.
+	Version int64
 }
 
-// gangKey names one attempt of a job.
-type gangKey struct {
-	job     string
-	attempt int
+// Attempt names one attempt of a job.
+type Attempt struct {
+	Job    string
+	Number int
 }
 
-func splitTask(id chestnutpond.TaskID) (gangKey, int, error) {
+// SplitTask returns the attempt and the member that a task id names.
+func SplitTask(id chestnutpond.TaskID) (Attempt, int, error) {
 	parts := strings.Split(string(id), ".")
 	if len(parts) < 3 {
-		return gangKey{}, 0, fmt.Errorf("task id %q has no attempt and member", id)
+		return Attempt{}, 0, fmt.Errorf("task id %q has no attempt and member", id)
 	}
 	attempt, err1 := strconv.Atoi(parts[len(parts)-2])
 	member, err2 := strconv.Atoi(parts[len(parts)-1])
-	return gangKey{strings.Join(parts[:len(parts)-2], "."), attempt}, member, errors.Join(err1, err2)
+	return Attempt{strings.Join(parts[:len(parts)-2], "."), attempt}, member, errors.Join(err1, err2)
 }
 
-// groupRuns groups runs by attempt; nil if a task id is malformed.
-func groupRuns(runs []stand.Run) (map[gangKey][]stand.Run, error) {
-	groups := map[gangKey][]stand.Run{}
+// GroupRuns groups runs by attempt; nil if a task id is malformed.
+func GroupRuns(runs []stand.Run) (map[Attempt][]stand.Run, error) {
+	groups := map[Attempt][]stand.Run{}
 	for _, r := range runs {
-		key, _, err := splitTask(r.Task)
+		key, _, err := SplitTask(r.Task)
 		if err != nil {
 			return nil, err
 		}
@@ -71,23 +80,25 @@
 	return groups, nil
 }
 
-// checkGangs reports each attempt in which some members ran for longer than
-// gangBound while another one was neither running nor done.
-func checkGangs(runs []stand.Run) error {
-	groups, err := groupRuns(runs)
+// Gangs reports each attempt in which some members ran for longer than
+// GangBound while another one was neither running nor done.
+func Gangs(runs []stand.Run) error {
+	groups, err := GroupRuns(runs)
 	if err != nil {
 		return err
 	}
 	var problems []error
 	for key, group := range groups {
-		if alone := longestPartial(group); alone > gangBound {
-			problems = append(problems, fmt.Errorf("job %s attempt %d: a part of the gang ran alone for %s", key.job, key.attempt, alone))
+		if alone := LongestPartial(group); alone > GangBound {
+			problems = append(problems, fmt.Errorf("job %s attempt %d: a part of the gang ran alone for %s", key.Job, key.Number, alone))
 		}
 	}
 	return errors.Join(problems...)
 }
 
-func longestPartial(group []stand.Run) time.Duration {
+// LongestPartial returns the longest time in which some members of an attempt ran
+// while another one was neither running nor done.
+func LongestPartial(group []stand.Run) time.Duration {
 	var instants []time.Time
 	for _, r := range group {
 		instants = append(instants, r.Start, r.End)
@@ -126,19 +137,19 @@
 	return running, len(members)
 }
 
-// checkOverlap reports attempts of one job that ran at the same time and tasks
+// Overlap reports attempts of one job that ran at the same time and tasks
 // that shared an accelerator.
-func checkOverlap(runs []stand.Run) error {
+func Overlap(runs []stand.Run) error {
 	var problems []error
 	for i, a := range runs {
 		for _, b := range runs[i+1:] {
 			if !a.Start.Before(b.End) || !b.Start.Before(a.End) {
 				continue
 			}
-			ka, _, errA := splitTask(a.Task)
-			kb, _, errB := splitTask(b.Task)
+			ka, _, errA := SplitTask(a.Task)
+			kb, _, errB := SplitTask(b.Task)
 			problems = append(problems, errA, errB)
-			if ka.job == kb.job && (ka.attempt != kb.attempt || a.Task == b.Task) {
+			if ka.Job == kb.Job && (ka.Number != kb.Number || a.Task == b.Task) {
 				problems = append(problems, fmt.Errorf("%s on worker %s ran beside %s on worker %s", a.Task, a.Worker, b.Task, b.Worker))
 			}
 			if a.Worker == b.Worker && slices.ContainsFunc(a.Accelerators, func(x int) bool { return slices.Contains(b.Accelerators, x) }) {
@@ -149,11 +160,11 @@
 	return errors.Join(problems...)
 }
 
-// checkJobs reports each accepted job that did not complete exactly once, and
+// Jobs reports each accepted job that did not complete exactly once, and
 // each task of a job that nobody was told of. A run that went to its end while
 // another member was lost does not count: the attempt must be whole.
-func checkJobs(accepted []chestnutpond.JobID, states map[chestnutpond.JobID]chestnutpond.JobState, runs []stand.Run) error {
-	groups, err := groupRuns(runs)
+func Jobs(accepted []chestnutpond.JobID, states map[chestnutpond.JobID]chestnutpond.JobState, runs []stand.Run) error {
+	groups, err := GroupRuns(runs)
 	if err != nil {
 		return err
 	}
@@ -166,7 +177,7 @@
 			}
 		}
 		if len(done) == group[0].Members {
-			whole[key.job]++
+			whole[key.Job]++
 		}
 	}
 	var problems []error
@@ -179,49 +190,49 @@
 		}
 	}
 	for key := range groups {
-		if !slices.Contains(accepted, chestnutpond.JobID(key.job)) {
-			problems = append(problems, fmt.Errorf("job %s ran and was not accepted", key.job))
+		if !slices.Contains(accepted, chestnutpond.JobID(key.Job)) {
+			problems = append(problems, fmt.Errorf("job %s ran and was not accepted", key.Job))
 		}
 	}
 	return errors.Join(problems...)
 }
 
-// checkRequests reports answers to other requests, "not run" requests that ran,
+// Requests reports answers to other requests, "not run" requests that ran,
 // answers without an execution and second executions of non-idempotent
 // requests. Executions count by the hash of the body.
-func checkRequests(callers []caller, executions map[string]int) error {
+func Requests(callers []Caller, executions map[string]int) error {
 	var problems []error
 	mayRun := map[string]bool{}
 	for _, c := range callers {
-		switch c.outcome {
+		switch c.Outcome {
 		case chestnutpond.OutcomeNotRun, chestnutpond.OutcomeRejected:
 		case chestnutpond.OutcomeAnswered:
-			if c.echo.Length != c.want.Length || c.echo.XXHash64 != c.want.XXHash64 || c.echo.Kind != c.want.Kind ||
-				(c.want.Request != "" && c.echo.Request != c.want.Request) {
-				problems = append(problems, fmt.Errorf("request %s: got the answer %+v, want %+v", c.body, c.echo, c.want))
+			if c.Echo.Length != c.Want.Length || c.Echo.XXHash64 != c.Want.XXHash64 || c.Echo.Kind != c.Want.Kind ||
+				(c.Want.Request != "" && c.Echo.Request != c.Want.Request) {
+				problems = append(problems, fmt.Errorf("request %s: got the answer %+v, want %+v", c.Body, c.Echo, c.Want))
 			}
-			if executions[c.body] == 0 {
-				problems = append(problems, fmt.Errorf("request %s: answered and never executed", c.body))
+			if executions[c.Body] == 0 {
+				problems = append(problems, fmt.Errorf("request %s: answered and never executed", c.Body))
 			}
-			mayRun[c.body] = true
+			mayRun[c.Body] = true
 		default:
-			mayRun[c.body] = true
+			mayRun[c.Body] = true
 		}
-		if !c.idempotent && executions[c.body] > 1 {
-			problems = append(problems, fmt.Errorf("request %s: not idempotent and executed %d times", c.body, executions[c.body]))
+		if !c.Idempotent && executions[c.Body] > 1 {
+			problems = append(problems, fmt.Errorf("request %s: not idempotent and executed %d times", c.Body, executions[c.Body]))
 		}
 	}
 	for _, c := range callers {
-		if !mayRun[c.body] && executions[c.body] > 0 {
-			problems = append(problems, fmt.Errorf("request %s: told %s and executed %d times", c.body, c.outcome, executions[c.body]))
+		if !mayRun[c.Body] && executions[c.Body] > 0 {
+			problems = append(problems, fmt.Errorf("request %s: told %s and executed %d times", c.Body, c.Outcome, executions[c.Body]))
 		}
 	}
 	return errors.Join(problems...)
 }
 
-// checkVersions reports each process whose version went down. The key is one
+// Versions reports each process whose version went down. The key is one
 // incarnation of a process.
-func checkVersions(seen map[string][]int64) error {
+func Versions(seen map[string][]int64) error {
 	var problems []error
 	for process, versions := range seen {
 		if !slices.IsSorted(versions) {
@@ -231,28 +242,28 @@
 	return errors.Join(problems...)
 }
 
-// document is the state of the published document: version and the id of the
-// publication that made it.
-type document struct {
-	version int64
-	id      string
+// Document is the state of the published document: version and the id of the
+// Publication that made it.
+type Document struct {
+	Version int64
+	ID      string
 }
 
-// checkPublications reports a history that no single order of the publications
+// Publications reports a history that no single order of the publications
 // explains. final is what every process holds after all of them.
-func checkPublications(start int64, history []publication, final document) error {
+func Publications(start int64, history []Publication, final Document) error {
 	model := porcupine.NondeterministicModel{
-		Init: func() []any { return []any{document{version: start}} },
-		Step: func(state, input, _ any) []any { return stepDocument(state.(document), input) },
+		Init: func() []any { return []any{Document{Version: start}} },
+		Step: func(state, input, _ any) []any { return stepDocument(state.(Document), input) },
 	}
 	var operations []porcupine.Operation
 	for i, p := range history {
-		back := int64(p.back)
-		if p.outcome == chestnutpond.OutcomeUnknown {
+		back := int64(p.Back)
+		if p.Outcome == chestnutpond.OutcomeUnknown {
 			// It may take effect at any later time.
 			back = math.MaxInt64 - 1
 		}
-		operations = append(operations, porcupine.Operation{ClientId: i, Input: p, Call: int64(p.call), Return: back})
+		operations = append(operations, porcupine.Operation{ClientId: i, Input: p, Call: int64(p.Call), Return: back})
 	}
 	operations = append(operations, porcupine.Operation{
 		ClientId: len(history), Input: final, Call: math.MaxInt64, Return: math.MaxInt64,
@@ -264,25 +275,25 @@
 }
 
 // stepDocument returns the states after the input, none if it is impossible.
-func stepDocument(now document, input any) []any {
-	p, isPublication := input.(publication)
+func stepDocument(now Document, input any) []any {
+	p, isPublication := input.(Publication)
 	if !isPublication {
-		if now == input.(document) {
+		if now == input.(Document) {
 			return []any{now}
 		}
 		return nil
 	}
-	next := document{version: p.base + 1, id: p.id}
+	next := Document{Version: p.Base + 1, ID: p.ID}
 	switch {
-	case p.outcome == chestnutpond.OutcomePublished && now.version == p.base && p.version == next.version:
+	case p.Outcome == chestnutpond.OutcomePublished && now.Version == p.Base && p.Version == next.Version:
 		return []any{next}
-	case p.outcome == chestnutpond.OutcomeLost && now.version > p.base && p.version > p.base && p.version <= now.version:
+	case p.Outcome == chestnutpond.OutcomeLost && now.Version > p.Base && p.Version > p.Base && p.Version <= now.Version:
 		return []any{now}
-	case p.outcome == chestnutpond.OutcomeNotRun, p.outcome == chestnutpond.OutcomeRejected:
+	case p.Outcome == chestnutpond.OutcomeNotRun, p.Outcome == chestnutpond.OutcomeRejected:
 		return []any{now}
-	case p.outcome == chestnutpond.OutcomeUnknown && now.version == p.base:
+	case p.Outcome == chestnutpond.OutcomeUnknown && now.Version == p.Base:
 		return []any{now, next}
-	case p.outcome == chestnutpond.OutcomeUnknown:
+	case p.Outcome == chestnutpond.OutcomeUnknown:
 		return []any{now}
 	}
 	return nil
--- a/internal/test/proof/caller_test.go
+++ b/internal/test/proof/caller_test.go
@@ -14,6 +14,7 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/chestnutpond/chestnutpond"
+	"github.com/chestnutpond/chestnutpond/internal/test/check"
 	"github.com/chestnutpond/chestnutpond/internal/test/stand"
 )
 
@@ -93,11 +94,18 @@
 	return view
 }
 
+// The records that the checkers read.
+type (
+	caller      = check.Caller
+	publication = check.Publication
+	document    = check.Document
+)
+
 // request sends a request and returns what its caller saw. A connection that
 // breaks is the outcome unknown.
 func (n *node) request(kind, body, key string) caller {
 	want := stand.EchoOf(chestnutpond.Call{Kind: kind, Body: []byte(body)})
-	c := caller{body: want.XXHash64, idempotent: kind == "price_list", outcome: chestnutpond.OutcomeUnknown, want: want}
+	c := caller{Body: want.XXHash64, Idempotent: kind == "price_list", Outcome: chestnutpond.OutcomeUnknown, Want: want}
 	header := map[string]string{}
 	if key != "" {
 		header["Idempotency-Key"] = key
@@ -106,13 +114,13 @@
 	if err != nil {
 		return c
 	}
-	c.outcome = r.outcome()
-	if c.outcome == chestnutpond.OutcomeAnswered {
+	c.Outcome = r.outcome()
+	if c.Outcome == chestnutpond.OutcomeAnswered {
 		if key == "" {
 			// A repeat by its key gets the answer to the first request.
-			c.want.Request = r.header.Get("Chestnutpond-Request-Id")
+			c.Want.Request = r.header.Get("Chestnutpond-Request-Id")
 		}
-		_ = json.Unmarshal(r.body, &c.echo)
+		_ = json.Unmarshal(r.body, &c.Echo)
 	}
 	return c
 }
@@ -195,18 +203,18 @@
 // publish sends a document once and returns what its operator saw.
 func (n *node) publish(t *testing.T, id string, base int64, text string) publication {
 	t.Helper()
-	p := publication{id: id, base: base, call: time.Since(epoch), outcome: chestnutpond.OutcomeUnknown}
+	p := publication{ID: id, Base: base, Call: time.Since(epoch), Outcome: chestnutpond.OutcomeUnknown}
 	r, err := n.call(http.MethodPut, fmt.Sprintf("/v1/document?base=%d&id=%s", base, id), operatorToken, nil, []byte(text))
-	p.back = time.Since(epoch)
+	p.Back = time.Since(epoch)
 	if err != nil {
 		return p
 	}
-	p.outcome = r.outcome()
+	p.Outcome = r.outcome()
 	var answer struct {
 		Version int64 `json:"version"`
 	}
 	assert.NilError(t, json.Unmarshal(r.body, &answer), "%s", r.body)
-	p.version = answer.Version
+	p.Version = answer.Version
 	return p
 }
 
@@ -234,7 +242,7 @@
 	}
 	until(t, "first document", func() string {
 		p := f.entries[0].publish(t, "first", 0, serviceDocument(1))
-		if p.outcome != chestnutpond.OutcomePublished {
+		if p.Outcome != chestnutpond.OutcomePublished {
 			return fmt.Sprintf("%+v", p)
 		}
 		return ""
@@ -282,7 +290,7 @@
 	until(t, fmt.Sprintf("version %d in force", version), func() string {
 		newest := map[string]int64{}
 		all := observer.versions(t)
-		assert.NilError(t, checkVersions(all))
+		assert.NilError(t, check.Versions(all))
 		for key, list := range all {
 			name, _, _ := strings.Cut(key, "/")
 			newest[name] = max(newest[name], list[len(list)-1])
--- a/internal/test/proof/chaos_test.go
+++ b/internal/test/proof/chaos_test.go
@@ -12,6 +12,7 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/chestnutpond/chestnutpond"
+	"github.com/chestnutpond/chestnutpond/internal/test/check"
 )
 
 const callerPace = 25 * time.Millisecond
@@ -183,23 +184,23 @@
 	}
 	c.f.waitVersion(t, observer, newest)
 	for _, e := range c.f.entries {
-		final := document{version: e.status(t).ConfigVersion}
+		final := document{Version: e.status(t).ConfigVersion}
 		text := e.document(t)
 		for id := range texts {
 			if texts[id] == text {
-				final.id = id
+				final.ID = id
 			}
 		}
-		if final.version == 1 {
-			final.id = ""
+		if final.Version == 1 {
+			final.ID = ""
 		}
-		assert.Check(t, checkPublications(1, history, final))
+		assert.Check(t, check.Publications(1, history, final))
 	}
 	c.f.checkRunsAndJobs(t, observer, c.jobs...)
-	assert.Check(t, checkRequests(c.callers, c.f.platform.executions(t)))
+	assert.Check(t, check.Requests(c.callers, c.f.platform.executions(t)))
 	counts := map[chestnutpond.Outcome]int{}
 	for _, seen := range c.callers {
-		counts[seen.outcome]++
+		counts[seen.Outcome]++
 	}
 	t.Logf("requests by outcome: %v", counts)
 	assert.Check(t, counts[chestnutpond.OutcomeAnswered] > 0)
--- a/internal/test/proof/fault_test.go
+++ b/internal/test/proof/fault_test.go
@@ -8,6 +8,7 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/chestnutpond/chestnutpond"
+	"github.com/chestnutpond/chestnutpond/internal/test/check"
 )
 
 // gangGone is the time after which no member of a silent gang can run.
@@ -104,7 +105,7 @@
 	assert.NilError(t, err)
 	assert.Equal(t, r.outcome(), chestnutpond.OutcomeNotRun, "%s", r.body)
 	refused := e.publish(t, "refused", 1, serviceDocument(3))
-	assert.Check(t, refused.outcome == chestnutpond.OutcomeNotRun || refused.outcome == chestnutpond.OutcomeUnknown, "%s", refused.outcome)
+	assert.Check(t, refused.Outcome == chestnutpond.OutcomeNotRun || refused.Outcome == chestnutpond.OutcomeUnknown, "%s", refused.Outcome)
 
 	control(t, f.platform.log, `{"outage": false}`)
 	after := e.submit(t, "after", gangSize, `{"run": "1s"}`)
@@ -113,7 +114,7 @@
 	control(t, f.platform.log, `{"lose_answers": 4}`)
 	again := e.request("reorder", "with lost answers", "lot-2")
 	callers = append(callers, keyed, again, e.request("reorder", "with lost answers", "lot-2"))
-	assert.Check(t, checkRequests(callers, f.platform.executions(t)))
+	assert.Check(t, check.Requests(callers, f.platform.executions(t)))
 	assertOutcomes(t, []caller{again}, chestnutpond.OutcomeAnswered)
 	f.checkRunsAndJobs(t, e, job, after, lossy)
 }
@@ -141,14 +142,14 @@
 		f.waitVersion(t, f.entries[0], base)
 	}
 	for _, e := range f.entries {
-		final := document{version: e.status(t).ConfigVersion}
+		final := document{Version: e.status(t).ConfigVersion}
 		text := e.document(t)
 		for id := range texts {
 			if texts[id] == text {
-				final.id = id
+				final.ID = id
 			}
 		}
-		assert.Check(t, checkPublications(1, history, final))
+		assert.Check(t, check.Publications(1, history, final))
 	}
 }
 
@@ -178,5 +179,5 @@
 	after := former.submit(t, "after", gangSize, `{"run": "1s"}`)
 	f.checkRunsAndJobs(t, observer, before, during, overlapping, after)
 	f.checkRunsAndJobs(t, former, before, during, overlapping, after)
-	assert.Check(t, checkVersions(former.versions(t)))
+	assert.Check(t, check.Versions(former.versions(t)))
 }
--- a/internal/test/proof/path_test.go
+++ b/internal/test/proof/path_test.go
@@ -10,6 +10,7 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/chestnutpond/chestnutpond"
+	"github.com/chestnutpond/chestnutpond/internal/test/check"
 )
 
 const (
@@ -32,7 +33,7 @@
 func assertOutcomes(t *testing.T, callers []caller, want chestnutpond.Outcome) {
 	t.Helper()
 	for _, c := range callers {
-		assert.Check(t, c.outcome == want, "request %s: %s", c.body, c.outcome)
+		assert.Check(t, c.Outcome == want, "request %s: %s", c.Body, c.Outcome)
 	}
 }
 
@@ -45,16 +46,16 @@
 		states[id] = observer.waitJob(t, id, chestnutpond.JobCompleted).State
 	}
 	runs := f.platform.runs(t)
-	if groups, err := groupRuns(runs); err == nil {
+	if groups, err := check.GroupRuns(runs); err == nil {
 		longest := time.Duration(0)
 		for _, group := range groups {
-			longest = max(longest, longestPartial(group))
+			longest = max(longest, check.LongestPartial(group))
 		}
 		t.Logf("longest time of a part of a gang alone: %s", longest)
 	}
-	assert.Check(t, checkGangs(runs))
-	assert.Check(t, checkOverlap(runs))
-	if !assert.Check(t, checkJobs(jobs, states, runs)) {
+	assert.Check(t, check.Gangs(runs))
+	assert.Check(t, check.Overlap(runs))
+	if !assert.Check(t, check.Jobs(jobs, states, runs)) {
 		for _, r := range runs {
 			t.Logf("run %s on worker %s from %s to %s: %s", r.Task, r.Worker,
 				r.Start.Format(clock), r.End.Format(clock), r.Reason)
@@ -84,8 +85,8 @@
 		func() caller { return f.entries[1].request("reorder", `{"work": "500ms"}`, "lot-7") },
 	)
 	assertOutcomes(t, sameKey, chestnutpond.OutcomeAnswered)
-	assert.NilError(t, checkRequests(append(callers, sameKey...), f.platform.executions(t)))
-	assert.Equal(t, sameKey[0].echo, sameKey[1].echo)
+	assert.NilError(t, check.Requests(append(callers, sameKey...), f.platform.executions(t)))
+	assert.Equal(t, sameKey[0].Echo, sameKey[1].Echo)
 
 	job := f.entries[0].submit(t, "job-1", gangSize, `{"run": "2s", "result": "sold"}`)
 	view := f.entries[1].waitJob(t, job, chestnutpond.JobRunning)
@@ -93,8 +94,8 @@
 	f.checkRunsAndJobs(t, f.entries[2], job)
 
 	p := f.entries[1].publish(t, "second", 1, serviceDocument(2))
-	assert.Equal(t, p.outcome, chestnutpond.OutcomePublished)
-	assert.Equal(t, p.version, int64(2))
+	assert.Equal(t, p.Outcome, chestnutpond.OutcomePublished)
+	assert.Equal(t, p.Version, int64(2))
 	f.waitVersion(t, f.entries[0], 2)
 }
 
@@ -123,7 +124,7 @@
 	agent.process.signal(terminate)
 	open.Wait()
 	assertOutcomes(t, callers, chestnutpond.OutcomeAnswered)
-	assert.Check(t, checkRequests(callers, f.platform.executions(t)))
+	assert.Check(t, check.Requests(callers, f.platform.executions(t)))
 	for _, n := range []*node{entry, agent} {
 		n.process.wait(t)
 		assert.Check(t, n.process.err, "%s", n.name)
--- a/internal/test/proof/recover_test.go
+++ b/internal/test/proof/recover_test.go
@@ -10,6 +10,7 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/chestnutpond/chestnutpond"
+	"github.com/chestnutpond/chestnutpond/internal/test/check"
 )
 
 // agentOf returns the agent of that name.
@@ -47,7 +48,7 @@
 		)...)
 	}
 	assertOutcomes(t, callers, chestnutpond.OutcomeUnknown)
-	assert.NilError(t, checkRequests(callers, f.platform.executions(t)))
+	assert.NilError(t, check.Requests(callers, f.platform.executions(t)))
 }
 
 // Guards against an agent that was paused past its leases and lets its member
@@ -172,12 +173,12 @@
 	after := observer.submit(t, "after", rackSize*8, `{"run": "1s"}`)
 	observer.waitJob(t, after, chestnutpond.JobCompleted)
 	runs := f.platform.runs(t)
-	assert.Check(t, checkGangs(runs))
-	assert.Check(t, checkOverlap(runs))
+	assert.Check(t, check.Gangs(runs))
+	assert.Check(t, check.Overlap(runs))
 	for _, run := range runs {
-		key, _, err := splitTask(run.Task)
+		key, _, err := check.SplitTask(run.Task)
 		assert.Check(t, err)
-		assert.Check(t, key.job != string(running) || key.attempt == 1, "%s ran", run.Task)
+		assert.Check(t, key.Job != string(running) || key.Number == 1, "%s ran", run.Task)
 	}
 }
 
@@ -199,7 +200,7 @@
 		former.request("reorder", "silent log, not idempotent", ""),
 	}
 	assertOutcomes(t, callers, chestnutpond.OutcomeAnswered)
-	assert.Equal(t, observer.publish(t, "second", 1, serviceDocument(2)).outcome, chestnutpond.OutcomePublished)
+	assert.Equal(t, observer.publish(t, "second", 1, serviceDocument(2)).Outcome, chestnutpond.OutcomePublished)
 	job := observer.submit(t, "job", gangSize, `{"run": "1s"}`)
 	until(t, "silence noticed", func() string {
 		if former.status(t).Log.Available {
@@ -210,7 +211,7 @@
 	path.heal(t)
 	f.waitVersion(t, observer, 2)
 	f.checkRunsAndJobs(t, former, job)
-	assert.Check(t, checkRequests(callers, f.platform.executions(t)))
+	assert.Check(t, check.Requests(callers, f.platform.executions(t)))
 }
 
 // Guards against a guarantee that cannot be claimed while others use its
@@ -230,12 +231,12 @@
 	f.checkRunsAndJobs(t, observer, append(jobs, claim)...)
 	displaced := 0
 	for _, r := range f.platform.runs(t) {
-		key, _, err := splitTask(r.Task)
+		key, _, err := check.SplitTask(r.Task)
 		assert.NilError(t, err)
-		if key.job == string(claim) {
+		if key.Job == string(claim) {
 			assert.Check(t, r.Start.Sub(claimed) < 2*time.Second+checkpointLimit, "started after %s", r.Start.Sub(claimed))
 		}
-		if key.job != string(claim) && key.attempt == 2 {
+		if key.Job != string(claim) && key.Number == 2 {
 			displaced++
 			assert.Check(t, r.End.Sub(r.Start) < time.Duration(r.Progress), "%s started anew", r.Task)
 		}
@@ -256,7 +257,7 @@
 		all.Go(func() {
 			for j := range each {
 				p := f.entries[i%entryCount].publish(t, fmt.Sprintf("late-%d-%d", i, j), 0, serviceDocument(9))
-				assert.Check(t, p.outcome != chestnutpond.OutcomePublished, "%+v", p)
+				assert.Check(t, p.Outcome != chestnutpond.OutcomePublished, "%+v", p)
 			}
 		})
 	}
@@ -317,13 +318,13 @@
 			open.Wait()
 			for _, c := range late {
 				switch {
-				case c.outcome == chestnutpond.OutcomeAnswered:
-				case !c.idempotent && c.outcome == chestnutpond.OutcomeUnknown:
+				case c.Outcome == chestnutpond.OutcomeAnswered:
+				case !c.Idempotent && c.Outcome == chestnutpond.OutcomeUnknown:
 				default:
-					t.Errorf("request %s, idempotent %t: %s", c.body, c.idempotent, c.outcome)
+					t.Errorf("request %s, idempotent %t: %s", c.Body, c.Idempotent, c.Outcome)
 				}
 			}
-			assert.Check(t, checkRequests(append(callers, late...), f.platform.executions(t)))
+			assert.Check(t, check.Requests(append(callers, late...), f.platform.executions(t)))
 		})
 	}
 }
