Process counters in a package of their own

Cause: the reading of /proc stood in the test files of the capacity measurement.

Change: internal/test/procfs.

Conclusion: other measurements can use it.

--- a/internal/test/scale/cluster_test.go
+++ b/internal/test/scale/cluster_test.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"os"
 	"path/filepath"
+	"strconv"
 	"strings"
 	"testing"
 	"time"
@@ -225,7 +226,8 @@
 	}
 	for line := range strings.Lines(text) {
 		if value, ok := strings.CutPrefix(line, "chestnutpond_"+name+" "); ok {
-			return number(strings.TrimSpace(value))
+			count, _ := strconv.ParseInt(strings.TrimSpace(value), 10, 64)
+			return count
 		}
 	}
 	return -1
--- a/internal/test/scale/fanin_test.go
+++ b/internal/test/scale/fanin_test.go
@@ -90,8 +90,8 @@
 			c.window(settleTime, nil)
 			after := c.entries[0].usage(t)
 			fmt.Printf("START %s snapshot_B=%d ready=%s cpu_s=%.2f ready_MB=%.1f after_3s_MB=%.1f peak_MB=%.1f\n", name, len(data),
-				took.Round(time.Millisecond), ready.cpu.Seconds(), float64(ready.resident)/1e6, float64(after.resident)/1e6, float64(after.peak)/1e6)
-			assert.Assert(t, after.peak <= maxMemory, "%d bytes of memory", after.peak)
+				took.Round(time.Millisecond), ready.CPU.Seconds(), float64(ready.Resident)/1e6, float64(after.Resident)/1e6, float64(after.Peak)/1e6)
+			assert.Assert(t, after.Peak <= maxMemory, "%d bytes of memory", after.Peak)
 		})
 	}
 }
--- a/internal/test/scale/slopes_test.go
+++ b/internal/test/scale/slopes_test.go
@@ -5,12 +5,14 @@
 	"fmt"
 	"net/http"
 	"slices"
+	"strconv"
 	"strings"
 	"testing"
 	"time"
 
 	"gotest.tools/v3/assert"
 
+	"github.com/chestnutpond/chestnutpond/internal/test/procfs"
 	"github.com/chestnutpond/chestnutpond/internal/test/stand"
 )
 
@@ -45,7 +47,7 @@
 			t.Run("start", measureStart)
 		}
 		for text := range strings.FieldsSeq(*sizes) {
-			t.Run("agents="+text, func(t *testing.T) { measure(t, int(number(text))) })
+			t.Run("agents="+text, func(t *testing.T) { measure(t, atoi(t, text)) })
 		}
 		return
 	}
@@ -87,13 +89,13 @@
 // reading holds the counters of all processes at one time.
 type reading struct {
 	at                     time.Time
-	entries, agents, stand []usage
-	log                    usage
+	entries, agents, stand []procfs.Usage
+	log                    procfs.Usage
 	appended               int64
 }
 
 func (c *cluster) reading() reading {
-	all := func(list []*process) (us []usage) {
+	all := func(list []*process) (us []procfs.Usage) {
 		for _, p := range list {
 			us = append(us, p.usage(c.t))
 		}
@@ -122,28 +124,28 @@
 	rate := func(n int64) float64 { return float64(n) / p.took.Seconds() }
 	var fromEntries, fromAgents int64
 	for i, u := range now.entries {
-		d := u.since(old.entries[i])
-		p.entryCPU = append(p.entryCPU, d.cpu.Seconds()/p.took.Seconds())
-		p.entryMemory = max(p.entryMemory, u.resident)
-		p.peaks[c.entries[i].name] = u.peak
-		fromEntries += d.bytes()
+		d := u.Since(old.entries[i])
+		p.entryCPU = append(p.entryCPU, d.CPU.Seconds()/p.took.Seconds())
+		p.entryMemory = max(p.entryMemory, u.Resident)
+		p.peaks[c.entries[i].name] = u.Peak
+		fromEntries += d.Bytes()
 	}
 	for i, u := range now.agents {
-		d := u.since(old.agents[i])
-		share := d.cpu.Seconds() / p.took.Seconds()
+		d := u.Since(old.agents[i])
+		share := d.CPU.Seconds() / p.took.Seconds()
 		p.agentCPU += share / float64(p.agents)
 		p.agentTop = max(p.agentTop, share)
-		p.agentMemory = max(p.agentMemory, u.resident)
-		p.agentMean += u.resident / int64(p.agents)
-		p.peaks[c.agents[i].name] = u.peak
-		p.calls += rate(d.writes)
-		fromAgents += d.bytes()
+		p.agentMemory = max(p.agentMemory, u.Resident)
+		p.agentMean += u.Resident / int64(p.agents)
+		p.peaks[c.agents[i].name] = u.Peak
+		p.calls += rate(d.Writes)
+		fromAgents += d.Bytes()
 	}
 	var fromStand int64
 	for i, u := range now.stand {
-		fromStand += u.since(old.stand[i]).bytes()
+		fromStand += u.Since(old.stand[i]).Bytes()
 	}
-	logBytes := now.log.since(old.log).bytes()
+	logBytes := now.log.Since(old.log).Bytes()
 	p.worker, p.log = rate(fromStand), rate(logBytes)
 	p.control = rate(fromAgents - fromStand)
 	p.exchange = rate(fromEntries - (fromAgents - fromStand) - logBytes)
@@ -264,3 +266,10 @@
 	}
 	return all
 }
+
+func atoi(t *testing.T, text string) int {
+	t.Helper()
+	n, err := strconv.Atoi(text)
+	assert.NilError(t, err)
+	return n
+}
