Messages to an agent name the incarnation that they mean

Cause: a process that takes over an agent's address answered for its predecessor. Asked what became of an attempt, it fenced it and said not_run, although the predecessor may have run it; a non-idempotent request then ran a second time. It also confirmed a stop while the worker could still run a task of the predecessor.

Ruled out: comparing the row before asking (the row may be a second behind).

Change: Serve and Resolve carry the incarnation; another one refuses the request as stale and answers unknown for the attempt; a stop is confirmed only by a clean worker.

Conclusion: not_run no longer depends on how new a row is.

--- a/internal/core/gangs/stop.go
+++ b/internal/core/gangs/stop.go
@@ -53,7 +53,8 @@
 		}
 		return s
 	}
-	reply := &inner.StopReply{Stopped: fenced}
+	// What a former incarnation left on the worker may still run until it is clean.
+	reply := &inner.StopReply{Stopped: fenced && t.clean}
 	if !fenced {
 		reply.Refusal = inner.Refusal_REFUSAL_UNKNOWN_ATTEMPT
 		reply.Reason = "the member is not known and not fenced"
--- a/internal/node/agent/serve.go
+++ b/internal/node/agent/serve.go
@@ -26,6 +26,11 @@
 	if ctx.Err() != nil {
 		return nil, status.FromContextError(ctx.Err()).Err()
 	}
+	if !s.agent.isMeant(req.GetAgent(), req.GetIncarnation()) {
+		reply := slots.NotRun(inner.Refusal_REFUSAL_STALE, "another incarnation of the agent is meant")
+		reply.Attempt, reply.Request = req.GetAttempt(), req.GetRequest()
+		return reply, nil
+	}
 	attempt, fresh := s.agent.slots.Begin(req, time.Now())
 	if fresh {
 		s.agent.enqueue(attempt)
@@ -40,6 +45,15 @@
 	}
 }
 
+// isMeant reports whether a message is meant for this process and not for an
+// earlier one at its address. A message without an incarnation is for any.
+func (a *Agent) isMeant(name string, incarnation int64) bool {
+	if incarnation == 0 {
+		return true
+	}
+	return incarnation == a.cfg.Incarnation && (name == "" || name == a.cfg.Name)
+}
+
 // countReply counts a refusal or an answer. Refusals for lack of a slot are not
 // recorded as events, because a flood of them would push all others out of the
 // ring; neither are answers to repeats.
@@ -101,6 +115,11 @@
 
 // Resolve tells what became of an attempt. An attempt that runs is waited for.
 func (s *service) Resolve(ctx context.Context, req *inner.ResolveRequest) (*inner.ServeReply, error) {
+	if !s.agent.isMeant("", req.GetIncarnation()) {
+		reply := slots.Unknown("the incarnation that the attempt was sent to is gone")
+		reply.Attempt = req.GetAttempt()
+		return reply, nil
+	}
 	attempt := s.agent.slots.Resolve(req.GetAttempt(), req.GetFence(), time.Now())
 	switch wait(ctx, time.Now().Add(req.GetWait().AsDuration()), attempt.Done(), nil) {
 	case first:
--- a/internal/node/agent/serve_test.go
+++ b/internal/node/agent/serve_test.go
@@ -33,6 +33,10 @@
 			prepare: func(w *world) { occupy(w); w.cancels[0](); synctest.Wait() },
 			want:    inner.Refusal_REFUSAL_DRAINING,
 		},
+		"another incarnation": {change: func(req *inner.ServeRequest) { req.Incarnation = 7 }, want: inner.Refusal_REFUSAL_STALE},
+		"another agent": {
+			change: func(req *inner.ServeRequest) { req.Agent, req.Incarnation = "agent-9", 1 }, want: inner.Refusal_REFUSAL_STALE,
+		},
 		"no slot": {prepare: occupy, want: inner.Refusal_REFUSAL_NO_SLOT},
 		"kind":    {change: func(req *inner.ServeRequest) { req.Kind = "other" }, want: inner.Refusal_REFUSAL_KIND},
 		"upstream down": {
@@ -129,12 +133,20 @@
 // the outcome of a call that broke or ran out of time after it was sent.
 func TestResolve(t *testing.T) {
 	cases := map[string]struct {
-		serve   bool
-		faults  stand.UpstreamFaults
-		fence   bool
-		outcome inner.OutcomeCode
-		refusal inner.Refusal
+		serve  bool
+		faults stand.UpstreamFaults
+		fence  bool
+		// incarnation is the one that is asked for, 0 for any.
+		incarnation int64
+		outcome     inner.OutcomeCode
+		refusal     inner.Refusal
 	}{
+		// A new process at the address must not call an attempt "not run" that the
+		// former one may have run.
+		"other incarnation and fence": {fence: true, incarnation: 7, outcome: inner.OutcomeCode_OUTCOME_CODE_UNKNOWN},
+		"same incarnation and fence": {
+			fence: true, incarnation: 1, outcome: inner.OutcomeCode_OUTCOME_CODE_NOT_RUN, refusal: inner.Refusal_REFUSAL_FENCED,
+		},
 		"unknown":              {outcome: inner.OutcomeCode_OUTCOME_CODE_UNKNOWN, refusal: inner.Refusal_REFUSAL_UNKNOWN_ATTEMPT},
 		"fenced":               {fence: true, outcome: inner.OutcomeCode_OUTCOME_CODE_NOT_RUN, refusal: inner.Refusal_REFUSAL_FENCED},
 		"answered":             {serve: true, outcome: inner.OutcomeCode_OUTCOME_CODE_ANSWERED},
@@ -154,7 +166,9 @@
 				_, err := w.svc(0).Serve(t.Context(), serveReq("a1", "body"))
 				assert.NilError(t, err)
 			}
-			reply, err := w.svc(0).Resolve(t.Context(), &inner.ResolveRequest{Attempt: "a1", Fence: c.fence})
+			reply, err := w.svc(0).Resolve(t.Context(), &inner.ResolveRequest{
+				Attempt: "a1", Fence: c.fence, Incarnation: c.incarnation,
+			})
 			assert.NilError(t, err)
 			assert.Equal(t, reply.GetOutcome(), c.outcome)
 			assert.Equal(t, reply.GetRefusal(), c.refusal)
--- a/internal/node/serve/fake_test.go
+++ b/internal/node/serve/fake_test.go
@@ -45,6 +45,8 @@
 	faultRefused
 	// faultRestart restarts the agent after the upstream ran.
 	faultRestart
+	// faultReplaced does the same, and the entry's row is behind.
+	faultReplaced
 )
 
 // fakeAgent is an agent with its upstream; it answers calls without a network.
@@ -52,6 +54,8 @@
 	mu          sync.Mutex
 	name        string
 	incarnation int64
+	// rowBehind means that entries still see the former incarnation's row.
+	rowBehind bool
 	// faults are used up call by call.
 	faults []fault
 	// random draws a fault for each call when it is set.
@@ -80,7 +84,7 @@
 		return faultRefused
 	}
 	if a.random != nil && a.random.IntN(3) == 0 {
-		return fault(a.random.IntN(int(faultRestart) + 1))
+		return fault(a.random.IntN(int(faultReplaced) + 1))
 	}
 	if len(a.faults) == 0 {
 		return faultNone
@@ -112,7 +116,8 @@
 }
 
 func (a *fakeAgent) serve(ctx context.Context, req *inner.ServeRequest) (*inner.ServeReply, error) {
-	switch a.next() {
+	f := a.next()
+	switch f {
 	case faultBefore:
 		return nil, errCut
 	case faultAfter:
@@ -136,10 +141,11 @@
 			Attempt: req.GetAttempt(), Request: req.GetRequest(),
 			Outcome: inner.OutcomeCode_OUTCOME_CODE_NOT_RUN, Refusal: inner.Refusal_REFUSAL_DRAINING,
 		}, nil
-	case faultRestart:
+	case faultRestart, faultReplaced:
 		a.execute(req)
 		a.mu.Lock()
 		a.incarnation++
+		a.rowBehind = f == faultReplaced
 		a.done = make(map[string]*inner.ServeReply)
 		a.mu.Unlock()
 		return nil, errCut
@@ -150,6 +156,9 @@
 func (a *fakeAgent) resolve(req *inner.ResolveRequest) *inner.ServeReply {
 	a.mu.Lock()
 	defer a.mu.Unlock()
+	if req.GetIncarnation() != 0 && req.GetIncarnation() != a.incarnation {
+		return &inner.ServeReply{Attempt: req.GetAttempt(), Outcome: inner.OutcomeCode_OUTCOME_CODE_UNKNOWN}
+	}
 	if reply, ok := a.done[req.GetAttempt()]; ok {
 		return reply
 	}
@@ -163,8 +172,12 @@
 func (a *fakeAgent) row() fleet.Row {
 	a.mu.Lock()
 	defer a.mu.Unlock()
+	incarnation := a.incarnation
+	if a.rowBehind {
+		incarnation--
+	}
 	return fleet.Row{Member: &inner.Member{
-		Name: a.name, Incarnation: a.incarnation, Sequence: 1, Address: a.name, Region: "pampa", Zone: "pampa-a",
+		Name: a.name, Incarnation: incarnation, Sequence: 1, Address: a.name, Region: "pampa", Zone: "pampa-a",
 		Upstream: &inner.Upstream{Slots: 8, Connections: 64, Kinds: []string{"price", "order"}, Up: true},
 	}}
 }
--- a/internal/node/serve/send.go
+++ b/internal/node/serve/send.go
@@ -114,6 +114,7 @@
 	call := &inner.ServeRequest{
 		Attempt: fmt.Sprintf("%s/%d/%s/%d", s.cfg.Origin.Process, s.cfg.Origin.Incarnation, r.ID, number),
 		Request: r.ID, Account: r.Account, Kind: r.Kind.Name, Body: r.Body, Digest: xxhash.Sum64(r.Body),
+		Agent: target, Incarnation: row.Member.GetIncarnation(),
 	}
 	address := row.Member.GetAddress()
 	if err := s.ready(address, deadline); err != nil {
@@ -194,7 +195,7 @@
 	ctx, cancel := context.WithTimeout(context.Background(), wait+resolveStep)
 	defer cancel()
 	reply, err := inner.NewAgentClient(conn).Resolve(ctx, &inner.ResolveRequest{
-		Attempt: call.GetAttempt(), Fence: true, Wait: durationpb.New(wait),
+		Attempt: call.GetAttempt(), Fence: true, Wait: durationpb.New(wait), Incarnation: call.GetIncarnation(),
 	})
 	if ctx.Err() != nil {
 		s.cfg.Dialer.Replace(address, conn)
--- a/internal/node/serve/serve_test.go
+++ b/internal/node/serve/serve_test.go
@@ -33,6 +33,7 @@
 		"corrupt answer":                    {[]fault{faultCorrupt}, order, chestnutpond.OutcomeAnswered, 1},
 		"refused, non-idempotent":           {[]fault{faultRefused}, order, chestnutpond.OutcomeAnswered, 1},
 		"agent restarted, non-idempotent":   {[]fault{faultRestart}, order, chestnutpond.OutcomeUnknown, 1},
+		"agent replaced, row behind":        {[]fault{faultReplaced}, order, chestnutpond.OutcomeUnknown, 1},
 		"agent restarted, idempotent":       {[]fault{faultRestart}, price, chestnutpond.OutcomeAnswered, 2},
 		"two faults, cut before and after":  {[]fault{faultBefore, faultAfter}, order, chestnutpond.OutcomeAnswered, 1},
 		"two faults, refused and swapped":   {[]fault{faultRefused, faultSwapped}, order, chestnutpond.OutcomeAnswered, 1},
