One heap for the queues of both cores

Cause: admission and placement each had a binary heap with removal by element.

Ruled out: container/heap (its elements need an interface value each, and the position bookkeeping would stand in every user).

Change: internal/core/heaps; both cores use it.

Conclusion: one place for the order of ties and positions.

--- a/internal/core/admit/bound.go
+++ b/internal/core/admit/bound.go
@@ -22,14 +22,14 @@
 		victims = append(victims, f)
 	}
 	if len(victims) == 0 && a.n >= a.limit {
-		f := a.longest.top()
+		f := a.longest.Top()
 		if !over(f, l, c) {
 			return nil, chestnutpond.ReasonQueueFull
 		}
 		victims = append(victims, f)
 	}
 	if l.work.n >= q.cfg.KindLimit && (len(victims) == 0 || victims[0].share.lane.work != l.work) {
-		f := l.work.longest.top()
+		f := l.work.longest.Top()
 		if !over(f, l, c) {
 			return nil, chestnutpond.ReasonQueueFull
 		}
@@ -39,8 +39,8 @@
 		if q.n == 0 {
 			return nil, chestnutpond.ReasonQueueFull
 		}
-		b := q.big.top()
-		f := b.longest.top()
+		b := q.big.Top()
+		f := b.longest.Top()
 		if b == a && !over(f, l, c) || b != a && float64(b.n-1)/b.weight <= float64(a.n)/a.weight {
 			return nil, chestnutpond.ReasonQueueFull
 		}
@@ -86,30 +86,30 @@
 	q.n++
 	c.waiting++
 	if f.n == 1 {
-		s.flows.push(f)
-		l.work.longest.push(f)
-		a.longest.push(f)
+		s.flows.Push(f)
+		l.work.longest.Push(f)
+		a.longest.Push(f)
 	} else {
-		s.flows.fix(f)
-		l.work.longest.fix(f)
-		a.longest.fix(f)
+		s.flows.Fix(f)
+		l.work.longest.Fix(f)
+		a.longest.Fix(f)
 	}
 	if s.n == 1 {
-		l.shares.push(s)
+		l.shares.Push(s)
 	}
 	if a.n == 1 {
-		q.big.push(a)
+		q.big.Push(a)
 	} else {
-		q.big.fix(a)
+		q.big.Fix(a)
 	}
 	for _, o := range a.shares {
-		o.lane.shares.fix(o)
+		o.lane.shares.Fix(o)
 	}
 	for _, o := range c.flows {
-		o.share.flows.fix(o)
+		o.share.flows.Fix(o)
 	}
 	if w.giveUp >= 0 {
-		q.deadline.push(w)
+		q.deadline.Push(w)
 	}
 }
 
@@ -126,23 +126,23 @@
 	q.n--
 	c.waiting--
 	if f.n == 0 {
-		s.flows.remove(f)
-		l.work.longest.remove(f)
-		a.longest.remove(f)
+		s.flows.Remove(f)
+		l.work.longest.Remove(f)
+		a.longest.Remove(f)
 	} else {
-		s.flows.fix(f)
-		l.work.longest.fix(f)
-		a.longest.fix(f)
+		s.flows.Fix(f)
+		l.work.longest.Fix(f)
+		a.longest.Fix(f)
 	}
 	if s.n == 0 {
-		l.shares.remove(s)
+		l.shares.Remove(s)
 	}
 	if a.n == 0 {
-		q.big.remove(a)
+		q.big.Remove(a)
 	} else {
-		q.big.fix(a)
+		q.big.Fix(a)
 	}
-	q.deadline.remove(w)
+	q.deadline.Remove(w)
 }
 
 // forget drops a request that neither waits nor runs any more.
--- a/internal/core/admit/group.go
+++ b/internal/core/admit/group.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/chestnutpond/chestnutpond"
+	"github.com/chestnutpond/chestnutpond/internal/core/heaps"
 )
 
 // waiter is one admitted request, from Offer to Done, Remove or Expired.
@@ -33,7 +34,7 @@
 	mean float64
 	n    int
 	// longest has the flow with the most requests on top.
-	longest heap[*flow]
+	longest heaps.Heap[*flow]
 }
 
 // lane is the part of a work that callers usually send, or the surplus.
@@ -45,7 +46,7 @@
 	lead, inner float64
 	n           int
 	// shares holds the accounts with requests waiting in this lane.
-	shares heap[*share]
+	shares heaps.Heap[*share]
 	// servable is set by Next for the length of one call.
 	servable bool
 }
@@ -56,7 +57,7 @@
 	lane    *lane
 	tag     float64
 	n       int
-	flows   heap[*flow]
+	flows   heaps.Heap[*flow]
 	shareAt int
 	// busySince is the last departure, or when the share began to wait. Waited
 	// and departures are sums over the time before that in which requests waited,
@@ -114,7 +115,7 @@
 	n       int
 	shares  []*share
 	callers map[string]*caller
-	longest heap[*flow]
+	longest heaps.Heap[*flow]
 	bigAt   int
 	seq     uint64
 }
@@ -158,20 +159,20 @@
 
 func newWork(kind string, class chestnutpond.Class, mean float64) *work {
 	w := &work{kind: kind, class: class, mean: mean}
-	w.longest = heap[*flow]{less: longer, at: func(f *flow) *int { return &f.workLongAt }}
+	w.longest = heaps.Heap[*flow]{Less: longer, At: func(f *flow) *int { return &f.workLongAt }}
 	return w
 }
 
 func newLane(w *work, surplus bool) *lane {
 	l := &lane{work: w, surplus: surplus}
-	l.shares = heap[*share]{
-		less: func(a, b *share) bool {
+	l.shares = heaps.Heap[*share]{
+		Less: func(a, b *share) bool {
 			if x, y := a.turn(), b.turn(); x != y {
 				return x < y
 			}
 			return a.account.seq < b.account.seq
 		},
-		at: func(s *share) *int { return &s.shareAt },
+		At: func(s *share) *int { return &s.shareAt },
 	}
 	return l
 }
@@ -186,20 +187,20 @@
 
 func newAccount(name string, seq uint64) *account {
 	a := &account{name: name, callers: map[string]*caller{}, bigAt: -1, seq: seq}
-	a.longest = heap[*flow]{less: longer, at: func(f *flow) *int { return &f.accountLongAt }}
+	a.longest = heaps.Heap[*flow]{Less: longer, At: func(f *flow) *int { return &f.accountLongAt }}
 	return a
 }
 
 func newShare(a *account, l *lane) *share {
 	s := &share{account: a, lane: l, shareAt: -1}
-	s.flows = heap[*flow]{
-		less: func(a, b *flow) bool {
+	s.flows = heaps.Heap[*flow]{
+		Less: func(a, b *flow) bool {
 			if a.caller.tag != b.caller.tag {
 				return a.caller.tag < b.caller.tag
 			}
 			return a.first.seq < b.first.seq
 		},
-		at: func(f *flow) *int { return &f.flowAt },
+		At: func(f *flow) *int { return &f.flowAt },
 	}
 	return s
 }
--- a/internal/core/admit/queue.go
+++ b/internal/core/admit/queue.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/chestnutpond/chestnutpond"
+	"github.com/chestnutpond/chestnutpond/internal/core/heaps"
 )
 
 // Item is one request.
@@ -44,8 +45,8 @@
 	lanes    []*lane
 	kinds    map[string]bool
 	// big has the account with the most waiting against its weight on top.
-	big      heap[*account]
-	deadline heap[*waiter]
+	big      heaps.Heap[*account]
+	deadline heaps.Heap[*waiter]
 	// expired were taken out of the queue but not yet returned by Expired.
 	expired []*waiter
 	// tag is the virtual time of the accounts: the greatest tag that was served.
@@ -77,15 +78,15 @@
 		mean:       cfg.ServiceGuess.Seconds(),
 		meanWeight: 1,
 	}
-	q.big = heap[*account]{less: heavier, at: func(a *account) *int { return &a.bigAt }}
-	q.deadline = heap[*waiter]{
-		less: func(a, b *waiter) bool {
+	q.big = heaps.Heap[*account]{Less: heavier, At: func(a *account) *int { return &a.bigAt }}
+	q.deadline = heaps.Heap[*waiter]{
+		Less: func(a, b *waiter) bool {
 			if a.giveUp != b.giveUp {
 				return a.giveUp < b.giveUp
 			}
 			return a.seq < b.seq
 		},
-		at: func(w *waiter) *int { return &w.deadlineAt },
+		At: func(w *waiter) *int { return &w.deadlineAt },
 	}
 	return q
 }
@@ -190,8 +191,8 @@
 
 // expire sets the requests aside that can't be answered in time.
 func (q *Queue) expire(now time.Duration) {
-	for q.deadline.len() > 0 && q.deadline.top().giveUp <= now {
-		w := q.deadline.top()
+	for q.deadline.Len() > 0 && q.deadline.Top().giveUp <= now {
+		w := q.deadline.Top()
 		w.flow.share.elapse(now)
 		q.detach(w)
 		w.expired = true
@@ -221,7 +222,7 @@
 		}
 		a.weight = float64(max(d.Weight, 1)) / q.meanWeight
 		a.limit = orInt(d.QueueLimit, q.cfg.AccountLimit)
-		q.big.fix(a)
+		q.big.Fix(a)
 	}
 	q.kinds = map[string]bool{}
 	for _, k := range doc.Kinds {
--- a/internal/core/admit/serve.go
+++ b/internal/core/admit/serve.go
@@ -27,7 +27,7 @@
 		return Item{}, false
 	}
 	s := q.nextShare(best)
-	w := s.flows.top().first
+	w := s.flows.Top().first
 	q.catchUp(s, w.flow.caller)
 	q.detach(w)
 	w.running = true
@@ -52,7 +52,7 @@
 		if !l.servable {
 			continue
 		}
-		s := l.shares.top()
+		s := l.shares.Top()
 		a := s.account
 		key := s.turn() - l.lead*q.mean + l.work.mean/a.weight
 		if best == nil || key < bestKey {
@@ -124,10 +124,10 @@
 	s.tag += service
 	c.tag += service
 	for _, o := range a.shares {
-		o.lane.shares.fix(o)
+		o.lane.shares.Fix(o)
 	}
 	for _, f := range c.flows {
-		f.share.flows.fix(f)
+		f.share.flows.Fix(f)
 	}
 }
 
@@ -157,7 +157,7 @@
 	if f := c.find(s); f != nil {
 		own = f.n
 	}
-	ahead := min(s.n, (own+1)*s.flows.len())
+	ahead := min(s.n, (own+1)*s.flows.Len())
 	return time.Duration(float64(ahead) * gap * float64(time.Second))
 }
 
--- a/internal/core/place/borrow.go
+++ b/internal/core/place/borrow.go
@@ -34,7 +34,7 @@
 	var best *lane
 	bestRank := 0
 	for _, l := range c.queue.lanes {
-		if l.accounts.len() == 0 || l.failedAt == c.fleet.growth && (l.retryAt == 0 || c.now < l.retryAt) {
+		if l.accounts.Len() == 0 || l.failedAt == c.fleet.growth && (l.retryAt == 0 || c.now < l.retryAt) {
 			continue
 		}
 		rank := c.rank(l.head())
--- a/internal/core/place/core.go
+++ b/internal/core/place/core.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/chestnutpond/chestnutpond"
+	"github.com/chestnutpond/chestnutpond/internal/core/heaps"
 )
 
 // Core decides the placement of the jobs of one region. It is not safe for
@@ -21,7 +22,7 @@
 	kinds   map[string]*kind
 	queue   queue
 	// delayed holds the jobs that wait for a retry, the earliest first.
-	delayed indexHeap[*job]
+	delayed heaps.Heap[*job]
 	// claims holds the jobs in stateClaiming, the oldest first.
 	claims []*job
 
@@ -56,7 +57,8 @@
 		kinds:    map[string]*kind{},
 		queue:    queue{byKey: map[laneKey]*lane{}},
 	}
-	c.delayed.less = func(a, b *job) bool {
+	c.delayed.At = jobAt
+	c.delayed.Less = func(a, b *job) bool {
 		if a.notBefore != b.notBefore {
 			return a.notBefore < b.notBefore
 		}
@@ -102,7 +104,7 @@
 		a.check = true
 	}
 	for _, l := range c.queue.lanes {
-		l.accounts.init()
+		l.accounts.Init()
 	}
 	for _, l := range c.cells {
 		l.account.cells = append(l.account.cells, l)
@@ -211,7 +213,7 @@
 		c.countWaiting(j, -1)
 		j.account.check = true
 	case stateDelayed:
-		c.delayed.remove(j)
+		c.delayed.Remove(j)
 		c.countWaiting(j, -1)
 	case stateClaiming:
 		c.unclaim(j)
@@ -228,7 +230,7 @@
 	j.enqueued = c.now
 	if j.notBefore > c.now {
 		j.state = stateDelayed
-		c.delayed.push(j)
+		c.delayed.Push(j)
 		return
 	}
 	j.state = stateWaiting
--- a/internal/core/place/decide.go
+++ b/internal/core/place/decide.go
@@ -58,8 +58,8 @@
 	c.survey()
 	c.endEjections()
 	c.openCells()
-	for c.delayed.len() > 0 && c.delayed.top().notBefore <= c.now {
-		j := c.delayed.top()
+	for c.delayed.Len() > 0 && c.delayed.Top().notBefore <= c.now {
+		j := c.delayed.Top()
 		c.detach(j)
 		c.enqueue(j)
 	}
@@ -77,8 +77,8 @@
 			wake, ok = t, true
 		}
 	}
-	if c.delayed.len() > 0 {
-		add(c.delayed.top().notBefore)
+	if c.delayed.Len() > 0 {
+		add(c.delayed.Top().notBefore)
 	}
 	for _, l := range c.closed {
 		add(l.closedUntil)
@@ -90,7 +90,7 @@
 		add(c.probation[0].at)
 	}
 	for _, l := range c.queue.lanes {
-		if l.accounts.len() > 0 && l.retryAt > c.now {
+		if l.accounts.Len() > 0 && l.retryAt > c.now {
 			add(l.retryAt)
 		}
 	}
--- a/internal/core/place/job.go
+++ b/internal/core/place/job.go
@@ -38,7 +38,8 @@
 }
 
 type job struct {
-	position
+	// at is the place in the heap that holds the job: a caller's, or delayed.
+	at      int
 	spec    chestnutpond.JobSpec
 	account *account
 	caller  *caller
--- a/internal/core/place/queue.go
+++ b/internal/core/place/queue.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/chestnutpond/chestnutpond"
+	"github.com/chestnutpond/chestnutpond/internal/core/heaps"
 )
 
 const (
@@ -22,7 +23,7 @@
 // lane holds the waiting jobs of one class and shape.
 type lane struct {
 	key      laneKey
-	accounts indexHeap[*laneAccount]
+	accounts heaps.Heap[*laneAccount]
 	// failedAt is the growth of the fleet when the lane's shape last had no
 	// place; -1 if it may have one.
 	failedAt int64
@@ -34,19 +35,21 @@
 // laneAccount is the part of a lane that belongs to one account. It exists
 // while it has jobs.
 type laneAccount struct {
-	position
+	// at is the place in the heap that holds the element.
+	at      int
 	lane    *lane
 	account *account
-	callers indexHeap[*laneCaller]
+	callers heaps.Heap[*laneCaller]
 }
 
 // laneCaller is the part of a lane that belongs to one caller. It exists while
 // it has jobs.
 type laneCaller struct {
-	position
+	// at is the place in the heap that holds the element.
+	at     int
 	in     *laneAccount
 	caller *caller
-	jobs   indexHeap[*job]
+	jobs   heaps.Heap[*job]
 }
 
 // queue holds the waiting jobs that may start now.
@@ -85,9 +88,9 @@
 	return j.account.borrowedAt[min(j.spec.Class.Rank(), lastRank)]
 }
 
-func (l *lane) head() *job        { return l.accounts.top().head() }
-func (n *laneAccount) head() *job { return n.callers.top().jobs.top() }
-func (n *laneCaller) first() *job { return n.jobs.top() }
+func (l *lane) head() *job        { return l.accounts.Top().head() }
+func (n *laneAccount) head() *job { return n.callers.Top().jobs.Top() }
+func (n *laneCaller) first() *job { return n.jobs.Top() }
 func olderJob(a, b *job) bool     { return a.seq < b.seq }
 func lessCaller(a, b *laneCaller) bool {
 	return before(a.first(), b.first())
@@ -103,7 +106,7 @@
 		return l
 	}
 	l = &lane{key: key, failedAt: -1}
-	l.accounts.less = lessAccount
+	l.accounts.Less, l.accounts.At = lessAccount, accountAt
 	q.byKey[key] = l
 	i := sort.Search(len(q.lanes), func(i int) bool { return laneLess(key, q.lanes[i].key) })
 	q.lanes = append(q.lanes, nil)
@@ -131,9 +134,9 @@
 		}
 	}
 	if lc != nil {
-		lc.jobs.push(j)
-		lc.in.callers.fix(lc)
-		l.accounts.fix(lc.in)
+		lc.jobs.Push(j)
+		lc.in.callers.Fix(lc)
+		l.accounts.Fix(lc.in)
 		return
 	}
 	var la *laneAccount
@@ -142,20 +145,20 @@
 			la = n
 		}
 	}
-	lc = &laneCaller{caller: j.caller, jobs: indexHeap[*job]{less: olderJob}}
-	lc.jobs.push(j)
+	lc = &laneCaller{caller: j.caller, jobs: heaps.Heap[*job]{Less: olderJob, At: jobAt}}
+	lc.jobs.Push(j)
 	j.caller.nodes = append(j.caller.nodes, lc)
 	if la != nil {
 		lc.in = la
-		la.callers.push(lc)
-		l.accounts.fix(la)
+		la.callers.Push(lc)
+		l.accounts.Fix(la)
 		return
 	}
-	la = &laneAccount{lane: l, account: j.account, callers: indexHeap[*laneCaller]{less: lessCaller}}
+	la = &laneAccount{lane: l, account: j.account, callers: heaps.Heap[*laneCaller]{Less: lessCaller, At: callerAt}}
 	lc.in = la
-	la.callers.push(lc)
+	la.callers.Push(lc)
 	j.account.nodes = append(j.account.nodes, la)
-	l.accounts.push(la)
+	l.accounts.Push(la)
 }
 
 func (q *queue) remove(j *job) {
@@ -165,20 +168,20 @@
 			continue
 		}
 		la := lc.in
-		if la.callers.len() == 1 && lc.jobs.len() == 1 {
-			l.accounts.remove(la)
+		if la.callers.Len() == 1 && lc.jobs.Len() == 1 {
+			l.accounts.Remove(la)
 			j.account.nodes = without(j.account.nodes, la)
 		}
-		if lc.jobs.len() == 1 {
-			la.callers.remove(lc)
+		if lc.jobs.Len() == 1 {
+			la.callers.Remove(lc)
 			j.caller.nodes = without(j.caller.nodes, lc)
 		}
-		lc.jobs.remove(j)
-		if lc.jobs.len() > 0 {
-			la.callers.fix(lc)
+		lc.jobs.Remove(j)
+		if lc.jobs.Len() > 0 {
+			la.callers.Fix(lc)
 		}
-		if la.callers.len() > 0 {
-			l.accounts.fix(la)
+		if la.callers.Len() > 0 {
+			l.accounts.Fix(la)
 		}
 		return
 	}
@@ -189,10 +192,16 @@
 func (q *queue) reorder(a *account, l *caller) {
 	if l != nil {
 		for _, n := range l.nodes {
-			n.in.callers.fix(n)
+			n.in.callers.Fix(n)
 		}
 	}
 	for _, n := range a.nodes {
-		n.lane.accounts.fix(n)
+		n.lane.accounts.Fix(n)
 	}
 }
+
+func jobAt(j *job) *int { return &j.at }
+
+func accountAt(a *laneAccount) *int { return &a.at }
+
+func callerAt(c *laneCaller) *int { return &c.at }
