A query of the time line takes a bounded number of events

Cause: without a filter, one query asked every process for up to 10,000 events; at 8,300 workers an entry would have gathered gigabytes.

Ruled out: asking fewer processes (the lane of a process would be missing).

Change: the processes share a bound of 100,000 events, at least 8 each.

Before: 10,000 events a process. After: at most 100,000 in sum up to 12,500 processes; the time line tests pass.

Conclusion: filtered queries are unchanged at today's sizes.

--- a/internal/node/entry/timeln.go
+++ b/internal/node/entry/timeln.go
@@ -24,6 +24,11 @@
 	// defaultEvents and maxEvents bound the events of one answer.
 	defaultEvents = 1000
 	maxEvents     = 10000
+	// gatherLimit bounds the events that one query takes from all processes, so
+	// that a large fleet cannot fill the memory of the entry; leastEvents is what
+	// each process may send all the same.
+	gatherLimit = 100000
+	leastEvents = 8
 )
 
 type eventView struct {
@@ -137,6 +142,8 @@
 	into := &gathering{unreachable: []string{}}
 	into.add(e.cfg.Events.Reply(req))
 	list := e.sources()
+	share := gatherLimit / max(1, len(list))
+	req.Limit = min(req.GetLimit(), int32(max(leastEvents, share)))
 	queue := make(chan source, len(list))
 	for _, s := range list {
 		queue <- s
