The table of stray tasks is bounded

Cause: the scheduler remembered every stray task that it had told to stop, for the length of its term.

Change: at most 4,096; beyond that all are forgotten and told again.

Before: no bound. After: a bound with a harmless overflow; go test -race ./internal/node/sched passes.

Conclusion: found in the read-through.

--- a/internal/node/sched/halt.go
+++ b/internal/node/sched/halt.go
@@ -15,6 +15,10 @@
 // strayPause is the time between two calls to stop the same stray task.
 const strayPause = 5 * time.Second
 
+// strayLimit bounds the remembered stray tasks. Beyond it all are forgotten, and
+// a task that still runs is told to stop again at once, which is harmless.
+const strayLimit = 4096
+
 // halted is what is known once nothing of an attempt runs any more.
 type halted struct {
 	checkpoint string
@@ -152,6 +156,9 @@
 		if last, told := r.strays[id]; told && now-last < strayPause {
 			continue
 		}
+		if len(r.strays) >= strayLimit {
+			clear(r.strays)
+		}
 		r.strays[id] = now
 		r.running.Add(1)
 		go s.run(r.ctx)
