Table of placement shows the wait of urgent jobs

Change: a column with the p99 from submission to the first start of the urgent jobs that belong to no flood. Urgent borrowers may preempt borrowers of any run time (FeatureUrgentFirst); core_v2 in the table is the policy without it.

--- a/internal/core/place/config.go
+++ b/internal/core/place/config.go
@@ -69,6 +69,8 @@
 	// FeatureFloat starts small jobs within a guarantee on partly used workers
 	// before their own cell.
 	FeatureFloat
+	// FeatureUrgentFirst lets urgent borrowers preempt borrowers of any run time.
+	FeatureUrgentFirst
 	// FeatureDisplace lets the jobs of an account take its cells back from its
 	// own backlogged callers.
 	FeatureDisplace
@@ -77,7 +79,7 @@
 // FeaturesAll is every part; without them all, the policy is close to its first
 // version. Shares by level and the later rules of health are always on.
 const FeaturesAll = FeatureSharedFit | FeatureBacklog | FeaturePreempt | FeaturePatience |
-	FeatureFloat | FeatureDisplace
+	FeatureFloat | FeatureUrgentFirst | FeatureDisplace
 
 func (c Config) has(f Feature) bool { return c.Without&f == 0 }
 
--- a/internal/core/place/preempt.go
+++ b/internal/core/place/preempt.go
@@ -37,9 +37,14 @@
 // is found. With 15 s the mean slowdown of an ordinary day rose from 1.5 to 2.4.
 const searchRetry = time.Second
 
+// always lets a borrower be preempted however short its run was. An urgent job
+// that waited for PreemptMinRun of its victims would miss its 2 s.
+func always(*job) bool { return true }
+
 // preemptFor claims accelerators of borrowers of lower levels for the job that
 // is first in its lane and does not fit. A backlogged caller preempts nobody, and
-// the work of one is preempted without delay.
+// the work of one is preempted without delay. Urgent work prefers victims that
+// have run long enough, and takes others if there are too few of them.
 func (c *Core) preemptFor(j *job, l *lane) bool {
 	level := c.level(j)
 	if c.now < l.retryAt {
@@ -55,13 +60,16 @@
 		return false
 	}
 	c.searches++
-	best, found := c.cheapest(j, viewOver3)
+	best, found := c.cheapest(j, viewOver3, c.mayStop)
 	if wait := j.enqueued + c.cfg.PreemptAfter; !found && level > 0 && c.now < wait {
 		l.retryAt = wait
 		return false
 	}
 	if !found && level < lastRank {
-		best, found = c.cheapest(j, viewOver1+view(level))
+		best, found = c.cheapest(j, viewOver1+view(level), c.mayStop)
+	}
+	if !found && level == 0 && c.cfg.has(FeatureUrgentFirst) {
+		best, found = c.cheapest(j, viewOver1, always)
 	}
 	if !found || !c.sparesShares(best) {
 		l.retryAt = c.now + searchRetry
@@ -79,14 +87,15 @@
 	return true
 }
 
-// cheapest finds the place for the job whose borrowers lose the least.
-func (c *Core) cheapest(j *job, v view) (best plan, found bool) {
+// cheapest finds the place for the job whose borrowers lose the least, among
+// those that mayStop allows.
+func (c *Core) cheapest(j *job, v view, mayStop func(*job) bool) (best plan, found bool) {
 	q := query{shape: j.spec.Shape, view: v, avoid: j.avoid}
 	if c.fleet.isFull(q) {
 		return best, false
 	}
 	try := func(picks []pick) {
-		if p, ok := c.planOver(v, picks); ok && (!found || p.cost < best.cost) {
+		if p, ok := c.planOver(v, picks, mayStop); ok && (!found || p.cost < best.cost) {
 			best, found = p, true
 		}
 	}
@@ -131,11 +140,11 @@
 }
 
 // planOver chooses free accelerators and those of the cheapest borrowers that
-// count in the view. ok is false if too few of them have run long enough.
-func (c *Core) planOver(v view, picks []pick) (p plan, ok bool) {
+// count in the view. ok is false if mayStop allows too few of them.
+func (c *Core) planOver(v view, picks []pick, mayStop func(*job) bool) (p plan, ok bool) {
 	for _, k := range picks {
 		h, victims, _ := c.pickSlots(k, func(s *slot) bool {
-			return s.in(v) && (s.job == nil || c.mayStop(s.job))
+			return s.in(v) && (s.job == nil || mayStop(s.job))
 		})
 		if len(h.index) < k.n {
 			return p, false
--- a/internal/test/bench/policy.go
+++ b/internal/test/bench/policy.go
@@ -37,6 +37,9 @@
 		{Name: "core_v1", New: func(seed uint64) Policy {
 			return place.New(place.Config{Region: region, Seed: seed, Without: place.FeaturesAll})
 		}},
+		{Name: "core_v2", New: func(seed uint64) Policy {
+			return place.New(place.Config{Region: region, Seed: seed, Without: place.FeatureUrgentFirst})
+		}},
 		{Name: "core", New: func(seed uint64) Policy { return place.New(place.Config{Region: region, Seed: seed}) }},
 	}
 }
--- a/internal/test/bench/result.go
+++ b/internal/test/bench/result.go
@@ -31,6 +31,9 @@
 	Reclaim float64
 	// GangWait is the longest wait of a large gang.
 	GangWait float64
+	// UrgentWait is the p99 of the time from submission to the first start of the
+	// urgent jobs that are not part of a flood.
+	UrgentWait float64
 	// Lost is the accelerator time lost to preemption and failures, in percent
 	// of the useful time.
 	Lost float64
@@ -50,17 +53,20 @@
 	out := &Result{
 		Fragmentation: ratio(float64(t.freeLost), float64(t.freeTotal)),
 		Utilisation:   ratio(float64(t.busyTotal), float64(t.samples*len(r.workers)*workerSize)),
-		KeptWork:      -1, SmallP99: -1, SmallOverLarge: -1, Reclaim: -1, GangWait: -1,
+		KeptWork:      -1, SmallP99: -1, SmallOverLarge: -1, Reclaim: -1, GangWait: -1, UrgentWait: -1,
 		BadStarts: -1, Preempted: float64(t.preempted),
 	}
 	if len(r.load.Bad) > 0 {
 		out.BadStarts = 100 * ratio(float64(t.badStarts), float64(t.lateStarts))
 	}
-	var all, small, large []float64
+	var all, small, large, urgent []float64
 	var useful float64
 	slow := 0.0
 	for _, j := range r.jobs {
 		out.count(j)
+		if j.Spec.Class == chestnutpond.ClassUrgent && !j.Extra && !j.cancelled {
+			urgent = append(urgent, j.firstWait())
+		}
 		if !j.finished {
 			continue
 		}
@@ -87,6 +93,10 @@
 		out.SmallP99 = quantile(small, 0.99)
 		out.SmallOverLarge = ratio(out.SmallP99, quantile(large, 0.99))
 	}
+	if len(urgent) > 0 {
+		sort.Float64s(urgent)
+		out.UrgentWait = quantile(urgent, 0.99)
+	}
 	out.Jain = r.jain()
 	return out
 }
@@ -99,10 +109,7 @@
 	if j.impossible != j.Impossible && !j.cancelled {
 		out.WrongEnds++
 	}
-	wait := endOfTime.Seconds()
-	if j.firstStart >= 0 {
-		wait = (j.firstStart - j.Arrive).Seconds()
-	}
+	wait := j.firstWait()
 	if j.Claim {
 		out.Reclaim = max(out.Reclaim, wait)
 	}
@@ -111,6 +118,14 @@
 	}
 }
 
+// firstWait is the time from submission to the first start, in seconds.
+func (j *runJob) firstWait() float64 {
+	if j.firstStart < 0 {
+		return endOfTime.Seconds()
+	}
+	return (j.firstStart - j.Arrive).Seconds()
+}
+
 func (j *runJob) slowdown() float64 {
 	return max(1, float64(j.ended-j.Arrive)/float64(max(j.Work, minSlowdownTime)))
 }
--- a/internal/test/bench/table.go
+++ b/internal/test/bench/table.go
@@ -125,6 +125,7 @@
 		{"Jain", func(r *Result) float64 { return r.Jain }, true, "%.3f"},
 		{"reclaim s", func(r *Result) float64 { return r.Reclaim }, false, "%.1f"},
 		{"gang wait s", func(r *Result) float64 { return r.GangWait }, false, "%.0f"},
+		{"urgent wait p99 s", func(r *Result) float64 { return r.UrgentWait }, false, "%.1f"},
 		{"lost %", func(r *Result) float64 { return r.Lost }, false, "%.2f"},
 		{"bad starts %", func(r *Result) float64 { return r.BadStarts }, false, "%.2f"},
 		{"preempted", func(r *Result) float64 { return r.Preempted }, false, "%.0f"},
--- a/internal/test/scale/slopes_test.go
+++ b/internal/test/scale/slopes_test.go
@@ -174,8 +174,9 @@
 			c.window(fullWindow, nil).print("idle")
 			c.inForce("small", 4, 5)
 		},
-		"urgent": func() { c.urgent(30, 8) },
-		"churn":  func() { c.churn(n) },
+		"urgent":  func() { c.urgent(30, 8) },
+		"waiting": c.waiting,
+		"churn":   func() { c.churn(n) },
 		"doc510": func() {
 			c.window(10*time.Second, func() { c.inForce("510", 510, 10) }).print("doc510")
 		},
@@ -212,13 +213,18 @@
 		label, size, len(c.agents), times, took[len(took)/2].Round(time.Millisecond), took[len(took)-1].Round(time.Millisecond))
 }
 
-// submit submits one job and returns its id and the time of the acceptance.
+// submit submits one job as the first account and returns its id and the time of
+// the acceptance.
 func (c *cluster) submit(kind, region string, accelerators int, run time.Duration, adjacency string) (string, time.Time, error) {
+	return c.submitAs(token, kind, region, accelerators, run, adjacency)
+}
+
+func (c *cluster) submitAs(bearer, kind, region string, accelerators int, run time.Duration, adjacency string) (string, time.Time, error) {
 	payload := fmt.Appendf(nil, `{"run": %q}`, run)
 	body := fmt.Appendf(nil, `{"kind": %q, "region": %q, "accelerators": %d, "adjacency": %q, "payload": %q}`,
 		kind, region, accelerators, adjacency, base64Text(payload))
 	var answer struct{ ID string }
-	err := call(http.MethodPost, c.http[accelerators%len(c.http)]+"/v1/jobs", token, body, &answer)
+	err := call(http.MethodPost, c.http[accelerators%len(c.http)]+"/v1/jobs", bearer, body, &answer)
 	return answer.ID, time.Now(), err
 }
 
