Agents get the version of a document without the document

Nothing reads the copy of an agent: Agent.Document was used by tests only, and an entry that starts while the log is down asks other entries (Tail.load, Sync).

Ruled out: differences, for a copy that nobody reads; copies at three agents of each entry, because a new entry needs jobs, terms and intents too and stays unready without them. docs/decisions/membership.md weighs them.

Change: AnnounceReply has the version alone. An agent no longer answers a version with a heartbeat of its own.

--- a/internal/node/agent/agent.go
+++ b/internal/node/agent/agent.go
@@ -183,17 +183,7 @@
 }
 
 // ConfigVersion returns the highest version of the document seen so far.
-func (a *Agent) ConfigVersion() int64 {
-	version, _ := a.home.document()
-	return version
-}
-
-// Document returns the document of ConfigVersion as the entry sent it. The
-// caller must not change it.
-func (a *Agent) Document() []byte {
-	_, document := a.home.document()
-	return document
-}
+func (a *Agent) ConfigVersion() int64 { return a.home.configVersion() }
 
 // record adds an event with the agent's name as the upstream.
 func (a *Agent) record(e chestnutpond.Event) {
--- a/internal/node/agent/announce.go
+++ b/internal/node/agent/announce.go
@@ -13,7 +13,6 @@
 	"github.com/chestnutpond/chestnutpond/internal/core/gangs"
 	"github.com/chestnutpond/chestnutpond/internal/core/home"
 	"github.com/chestnutpond/chestnutpond/internal/wire/inner"
-	"github.com/chestnutpond/chestnutpond/internal/wire/pack"
 )
 
 const (
@@ -35,9 +34,6 @@
 	// declared the agent lost, which it does after the same silence, before it
 	// starts a gang again of which it can reach no member.
 	isolationSlack = 5 * time.Second
-	// documentLimit bounds an unpacked document, in bytes. Entries refuse larger
-	// ones.
-	documentLimit = 1 << 20
 )
 
 // announcer keeps one Announce stream to the home entry.
@@ -53,9 +49,9 @@
 	interval time.Duration
 	// answered is the time of the newest answer of any entry, or of the start.
 	answered time.Time
-	// version and doc are the newest document; version never goes down.
+	// version is the highest document version in force at an entry that answered;
+	// it never goes down.
 	version int64
-	doc     []byte
 	// row is the newest row. Its sequence grows with each change and with each
 	// stream, so that a loss that a former home reports is older.
 	row *inner.Member
@@ -85,7 +81,7 @@
 		if n.session(ctx) {
 			retry.Reset()
 		}
-		wait(ctx, time.Now().Add(retry.NextBackOff()), nil, nil)
+		wait(ctx, time.Now().Add(retry.NextBackOff()), nil)
 	}
 	return nil
 }
@@ -153,10 +149,10 @@
 	return n.up
 }
 
-func (n *announcer) document() (int64, []byte) {
+func (n *announcer) configVersion() int64 {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	return n.version, n.doc
+	return n.version
 }
 
 func (n *announcer) heartbeat() time.Duration {
@@ -185,27 +181,13 @@
 		if err != nil {
 			return
 		}
-		document, err := documentOf(reply)
-		if err != nil {
-			// The next stream gets the document again.
-			l.announcer.agent.cfg.Log.Error("agent: document not readable", "entry", l.entry, "error", err)
-			return
-		}
 		l.answered = true
-		l.watchdog.Reset(l.announcer.take(l.entry, reply, document))
-	}
-}
-
-// documentOf returns the document of a reply; it is empty if there is none.
-func documentOf(reply *inner.AnnounceReply) ([]byte, error) {
-	if packed := reply.GetPackedDocument(); len(packed) > 0 {
-		return pack.Unpack(packed, documentLimit)
+		l.watchdog.Reset(l.announcer.take(l.entry, reply))
 	}
-	return reply.GetDocument(), nil
 }
 
 // take applies an answer and returns how long the stream may be silent now.
-func (n *announcer) take(entry string, reply *inner.AnnounceReply, document []byte) time.Duration {
+func (n *announcer) take(entry string, reply *inner.AnnounceReply) time.Duration {
 	n.agent.gangs.Release(reply.GetRelease(), time.Now())
 	n.agent.gangs.Over(reply.GetOver(), "the log says that the attempt is over", time.Now())
 	n.mu.Lock()
@@ -216,13 +198,11 @@
 	if d := reply.GetHeartbeat().AsDuration(); d > 0 {
 		n.interval = min(max(d, minInterval), maxInterval)
 	}
-	if reply.GetConfigVersion() > n.version && len(document) > 0 {
-		n.version, n.doc = reply.GetConfigVersion(), document
+	if reply.GetConfigVersion() > n.version {
+		n.version = reply.GetConfigVersion()
 		n.agent.record(chestnutpond.Event{
 			Kind: chestnutpond.EventConfigInForce, Detail: fmt.Sprintf("version %d", n.version),
 		})
-		// The entry learns of the version in force from the next message.
-		n.agent.news.report()
 	}
 	return n.silence()
 }
--- a/internal/node/agent/run.go
+++ b/internal/node/agent/run.go
@@ -112,10 +112,10 @@
 			stopped = true
 			a.gangs.StopAll(lastCheckpoint, "the agent is stopped", time.Now())
 		}
-		wait(abort, time.Now().Add(drainPoll), nil, nil)
+		wait(abort, time.Now().Add(drainPoll), nil)
 	}
 	// The last row tells the entries how the tasks ended.
-	wait(abort, time.Now().Add(farewell), nil, nil)
+	wait(abort, time.Now().Add(farewell), nil)
 	return nil
 }
 
@@ -150,7 +150,7 @@
 func (p *prober) run(ctx context.Context) error {
 	for {
 		p.check(ctx)
-		if wait(ctx, time.Now().Add(probeEvery), p.agent.probe, nil) == ended {
+		if wait(ctx, time.Now().Add(probeEvery), p.agent.probe) == ended {
 			return nil
 		}
 	}
--- a/internal/node/agent/serve.go
+++ b/internal/node/agent/serve.go
@@ -121,8 +121,8 @@
 		return reply, nil
 	}
 	attempt := s.agent.slots.Resolve(req.GetAttempt(), req.GetFence(), time.Now())
-	switch wait(ctx, time.Now().Add(req.GetWait().AsDuration()), attempt.Done(), nil) {
-	case first:
+	switch wait(ctx, time.Now().Add(req.GetWait().AsDuration()), attempt.Done()) {
+	case signalled:
 		return attempt.Reply(), nil
 	case ended:
 		return nil, status.FromContextError(ctx.Err()).Err()
--- a/internal/node/agent/speak.go
+++ b/internal/node/agent/speak.go
@@ -18,16 +18,13 @@
 	busyEvery = time.Second
 )
 
-// news tells the speaker that something may have changed.
+// news tells the speaker that the row may have changed.
 type news struct {
-	// rows has room for one signal that the row may have changed, and versions
-	// for one that the configuration version has.
-	rows, versions chan struct{}
+	// rows has room for one signal.
+	rows chan struct{}
 }
 
-func newNews() *news {
-	return &news{rows: make(chan struct{}, 1), versions: make(chan struct{}, 1)}
-}
+func newNews() *news { return &news{rows: make(chan struct{}, 1)} }
 
 // signal says that the row may have changed. It never blocks.
 func (n *news) signal() {
@@ -37,14 +34,6 @@
 	}
 }
 
-// report says that the version in force has changed. It never blocks.
-func (n *news) report() {
-	select {
-	case n.versions <- struct{}{}:
-	default:
-	}
-}
-
 // speaker sends rows and heartbeats on one stream.
 type speaker struct {
 	announcer *announcer
@@ -67,16 +56,13 @@
 		if !s.look.IsZero() && s.look.Before(at) {
 			at = s.look
 		}
-		switch wait(ctx, at, news.rows, news.versions) {
+		switch wait(ctx, at, news.rows) {
 		case ended:
 			return nil
-		case first:
+		case signalled:
 			if soon := time.Now().Add(coalesce); s.look.IsZero() || soon.Before(s.look) {
 				s.look = soon
 			}
-		case second:
-			// A heartbeat carries the new version.
-			s.sent = time.Time{}
 		}
 		if err := s.sendDue(); err != nil {
 			return err
@@ -106,8 +92,7 @@
 
 // send sends a row, or a heartbeat when row is nil.
 func (s *speaker) send(row *inner.Member) error {
-	version, _ := s.announcer.document()
-	req := &inner.AnnounceRequest{Member: row, ConfigVersion: version}
+	req := &inner.AnnounceRequest{Member: row, ConfigVersion: s.announcer.configVersion()}
 	s.sent = time.Now()
 	if row != nil {
 		s.sentRow = s.sent
--- a/internal/node/agent/task.go
+++ b/internal/node/agent/task.go
@@ -62,7 +62,7 @@
 			d.act(ctx, step)
 			continue
 		}
-		if wait(ctx, step.Until, d.signals.Step, nil) == ended {
+		if wait(ctx, step.Until, d.signals.Step) == ended {
 			return
 		}
 	}
@@ -196,7 +196,7 @@
 		if reply := b.send(ctx, beat); reply != nil {
 			b.agent.gangs.Confirm(b.key, sent, reply, time.Now())
 		}
-		if wait(ctx, sent.Add(beat.Every), b.signals.Beat, nil) == ended {
+		if wait(ctx, sent.Add(beat.Every), b.signals.Beat) == ended {
 			return
 		}
 	}
--- a/internal/node/agent/worker.go
+++ b/internal/node/agent/worker.go
@@ -30,7 +30,7 @@
 		w.agent.leaveIsolation(time.Now())
 		w.agent.gangs.Expire(time.Now())
 		w.agent.net.Sweep(time.Now())
-		if wait(ctx, time.Now().Add(gangs.BeatEvery), nil, nil) == ended {
+		if wait(ctx, time.Now().Add(gangs.BeatEvery), nil) == ended {
 			return nil
 		}
 	}
--- a/internal/node/peers/group.go
+++ b/internal/node/peers/group.go
@@ -84,8 +84,6 @@
 	cfg    Config
 	start  time.Time
 	meters *meters
-	// documents has a lock of its own, under which no other is taken.
-	documents packer
 
 	// mu guards the fields below. No other lock is taken under it.
 	mu    sync.Mutex
--- a/internal/node/peers/home.go
+++ b/internal/node/peers/home.go
@@ -213,16 +213,13 @@
 			reply.Over = overTasks(row.Member, st)
 		}
 	})
-	g.documents.shorten(reply)
 	return reply
 }
 
 func (s *session) addConfig(reply *inner.AnnounceReply, st *ledger.State) {
 	config, ok := st.Current()
 	if ok && config.Version > s.version && config.Version > s.sentVersion {
-		reply.Service = config.Service
 		reply.ConfigVersion = config.Version
-		reply.Document = config.Document
 		s.sentVersion = config.Version
 	}
 }
