The test of the document reader draws edits that keep a document whole

Nearly all edits made a document faulty, or changed nothing that two accounts share.

Change: edits also copy runs of lines, give a line the text of another with the same key, and give keys other values.

--- a/internal/conf/svcdoc/reader_test.go
+++ b/internal/conf/svcdoc/reader_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"strings"
 	"testing"
 
@@ -22,17 +23,30 @@
 	"1", "a", "1", "2", "3", "a", "b", "é", "\xff", "accounts:", "kinds:", "\nfoo", "\n  foo", "\n      foo: 1", "weight: 7\n    ", "name: b", digest1, digest2,
 }
 
-// edit changes one line: it is removed, doubled, moved or gets a piece.
+// values are what an edit gives to a key; most of them end a document's order.
+var values = []string{"7", "team-1", "team-2", digest1, "|", ">", "\"7", "'", "{a: 1", "[7", "]", "7 # x", "7\n      7", "\"7\"", "&a 7", ""}
+
+// edit removes a line, copies some lines, gives a line the text of another one
+// with the same key, gives a key another value, or puts a piece into a line.
 func edit(t *rapid.T, text string) string {
 	lines := strings.SplitAfter(text, "\n")
 	i, j := rapid.IntRange(0, len(lines)-1).Draw(t, "line"), rapid.IntRange(0, len(lines)-1).Draw(t, "other")
+	key, _, isKey := strings.Cut(lines[i], ":")
 	switch rapid.IntRange(0, 5).Draw(t, "edit") {
 	case 0:
 		lines[i] = ""
 	case 1:
-		lines[i] += lines[j]
+		lines = slices.Insert(lines, j, slices.Clone(lines[i:min(len(lines), i+rapid.IntRange(1, 7).Draw(t, "count"))])...)
 	case 2:
-		lines[i], lines[j] = lines[j], lines[i]
+		for ; isKey && j < len(lines); j++ {
+			if strings.HasPrefix(lines[j], key+":") {
+				lines[i] = lines[j]
+			}
+		}
+	case 3:
+		if isKey {
+			lines[i] = key + ": " + rapid.SampledFrom(values).Draw(t, "value") + "\n"
+		}
 	default:
 		from := rapid.IntRange(0, len(lines[i])).Draw(t, "from")
 		to := rapid.IntRange(from, min(len(lines[i]), from+3)).Draw(t, "to")
