Homes by zone and region

Cause: an agent chose its home entry by address alone. With entries in four regions most agents were homed beyond a link between regions, and a region that was cut off lost the tasks of agents whose home was beyond the cut: after 57 s of silence they tried the entries in hash order, 3 s each, and 5 s were left. A test in virtual time with 11 entries showed none of 8 members running two minutes after the cut. With real processes 20 agents of three zones were homed 9, 7 and 4 instead of 8, 6 and 6 at the entries of their zones.

Ruled out: a cap by hashing with bounded loads at the agent, which needs the load of all entries at all agents; refusing the stream of an agent at a full entry, whose isolation would go on while it looks for another.

An agent prefers its zone, its region, entries without a known place, other regions; by rendezvous hashing inside each. It returns to a nearer entry that its home has named for 30 to 60 s, later for one that failed. An entry with more than 150% of its share, and more than 40 agents, sends agents of other zones on. Entries of the own region are kept for 10 min after a home beyond a cut stopped naming them.

The test found another fault: an agent whose interval was shortened, as it is on the way from a large home to a small one, slept on through the former one, and the stream was given up as silent after 3 s. The speaker now sends at once.

--- a/internal/core/fleet/fleet_test.go
+++ b/internal/core/fleet/fleet_test.go
@@ -1,6 +1,7 @@
 package fleet
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -116,6 +117,33 @@
 	assert.Equal(t, table.Interval(), 10*time.Second)
 }
 
+// TestCrowded guards against a home that sends agents away although it has no
+// more than its share, or because its region is cut off.
+func TestCrowded(t *testing.T) {
+	tests := map[string]struct {
+		own, others, entries int
+		want                 bool
+	}{
+		"small fleet":       {heartbeatBudget, 0, 3, false},
+		"a share and half":  {150, 150, 3, false},
+		"more than that":    {151, 149, 3, true},
+		"after a cut":       {151, 149, 2, false},
+		"nobody else there": {500, 0, 1, false},
+	}
+	for name, tc := range tests {
+		t.Run(name, func(t *testing.T) {
+			table := New(Config{Self: "self"})
+			for i := range tc.own {
+				table.Hear(0, row(fmt.Sprint("own-", i), 1, 1))
+			}
+			for i := range tc.others {
+				table.Learn(0, row(fmt.Sprint("other-", i), 1, 1), "other")
+			}
+			assert.Equal(t, table.Crowded(tc.entries), tc.want)
+		})
+	}
+}
+
 // TestRank guards against two entries that both think they come first.
 func TestRank(t *testing.T) {
 	peers := []Peer{
--- a/internal/core/fleet/peers.go
+++ b/internal/core/fleet/peers.go
@@ -110,6 +110,17 @@
 	return heard > lost
 }
 
+// Live returns the number of peers that this entry hears.
+func (p *Peers) Live() int {
+	live := 0
+	for _, peer := range p.peers {
+		if !peer.Lost {
+			live++
+		}
+	}
+	return live
+}
+
 // LostSince tells since when a peer is lost. An unknown peer is not lost.
 func (p *Peers) LostSince(name string) (time.Duration, bool) {
 	peer, ok := p.peers[name]
--- a/internal/core/fleet/table.go
+++ b/internal/core/fleet/table.go
@@ -18,6 +18,10 @@
 	// orphanAfter is how long the rows of a lost entry stay in use while its
 	// agents look for another home.
 	orphanAfter = 5 * time.Second
+	// An entry has its share of the agents up to crowdPercent of their mean, and
+	// in any case up to heartbeatBudget of them. Two entries of three that share
+	// the agents of the third have 150%.
+	crowdPercent = 150
 )
 
 // Row is one agent as this entry knows it.
@@ -247,6 +251,14 @@
 	return rows, t.index
 }
 
+// Crowded reports whether this entry has more than its share of the agents among
+// that many live entries. After a cut the share grows, because the lost agents
+// are still counted: an agent that is cut off has no better home.
+func (t *Table) Crowded(entries int) bool {
+	share := len(t.rows) * crowdPercent / (100 * max(entries, 1))
+	return t.homed > max(share, heartbeatBudget)
+}
+
 // Homed returns the number of agents whose home is this entry.
 func (t *Table) Homed() int { return t.homed }
 
--- a/internal/core/home/home_test.go
+++ b/internal/core/home/home_test.go
@@ -3,55 +3,90 @@
 import (
 	"fmt"
 	"testing"
+	"time"
 
 	"gotest.tools/v3/assert"
 )
 
+func newList(name string, seeds ...string) *List {
+	return New(Config{Name: name, Region: "pampa", Zone: "a", Seeds: seeds})
+}
+
+func next(t *testing.T, l *List, now time.Duration) string {
+	t.Helper()
+	e, ok := l.Next(now)
+	assert.Assert(t, ok)
+	return e
+}
+
+var (
+	zoneA   = Entry{"a", "pampa", "a"}
+	zoneB   = Entry{"b", "pampa", "b"}
+	farther = Entry{"d", "cuyo", "d"}
+)
+
 // Guards the order of entries: hash order at first, then the last good one, and
 // every entry is tried before one is tried again.
 func TestNext(t *testing.T) {
-	l := New("agent", []string{"a", "b", "c", "a"})
+	l := newList("agent", "a", "b", "c", "a")
 	seen := map[string]bool{}
 	for range 3 {
-		e, ok := l.Next()
-		assert.Assert(t, ok && !seen[e])
+		e := next(t, l, 0)
+		assert.Assert(t, !seen[e])
 		seen[e] = true
-		l.Failed(e)
+		l.Failed(0, e)
 	}
-	l.Good("b")
-	e, _ := l.Next()
-	assert.Equal(t, e, "b")
-	l.Failed("b")
-	e, _ = l.Next()
-	assert.Assert(t, e != "b")
+	l.Good(0, "b")
+	assert.Equal(t, next(t, l, 0), "b")
+	l.Failed(0, "b")
+	assert.Assert(t, next(t, l, 0) != "b")
 }
 
-// Guards the bound of learned entries and that the seeds stay.
+// Guards the bound of learned entries, and that the seeds and the nearest stay.
 func TestLearn(t *testing.T) {
-	l := New("agent", []string{"seed"})
-	var many []string
+	l := newList("agent", "seed")
+	many := []Entry{{Address: "seed"}}
 	for i := range 1000 {
-		many = append(many, fmt.Sprint("e", i), "seed")
+		many = append(many, Entry{fmt.Sprint("e", i), "cuyo", "d"})
 	}
-	l.Learn(many)
+	l.Learn(0, append(many, zoneA))
 	assert.Equal(t, l.Len(), 1+MaxLearned)
-	l.Learn(nil)
+	l.Learn(0, nil)
 	assert.Equal(t, l.Len(), 1+MaxLearned)
-	l.Learn([]string{"x"})
+	assert.Equal(t, next(t, l, 0), "a")
+	l.Learn(0, []Entry{{Address: "x"}})
+	assert.Equal(t, l.Len(), 3, "the entry of the own zone is kept, although it is not named")
+	next(t, l, keepUnnamed)
 	assert.Equal(t, l.Len(), 2)
-	_, ok := New("agent", nil).Next()
+	_, ok := newList("agent").Next(0)
 	assert.Assert(t, !ok)
 }
 
-// Guards the spread: each entry gets its share of the agents, and losing one
-// moves only its own agents.
+// Guards the order of distance: the own zone, the own region, seeds without a
+// place, then other regions, also where the home beyond a cut names no near ones.
+func TestGroups(t *testing.T) {
+	for i := range 50 {
+		l := newList(fmt.Sprint("agent-", i), "seed", "a")
+		l.Learn(0, []Entry{farther, zoneB, zoneA})
+		l.Good(0, "d")
+		l.Learn(time.Second, []Entry{farther})
+		l.Failed(time.Second, "d")
+		for _, want := range []string{"a", "b", "seed", "d"} {
+			assert.Equal(t, next(t, l, time.Second), want)
+			l.Failed(time.Second, want)
+		}
+	}
+}
+
+// Guards the spread: each entry of a group gets its share of the agents, and
+// losing one moves only its own agents.
 func TestSpread(t *testing.T) {
 	three := []string{"10.0.0.1:7", "10.0.0.2:7", "10.0.0.3:7"}
 	count := map[string]int{}
 	for i := range 300 {
 		name := fmt.Sprint("agent-", i)
-		before, _ := New(name, three).Next()
-		after, _ := New(name, three[:2]).Next()
+		before := next(t, newList(name, three...), 0)
+		after := next(t, newList(name, three[:2]...), 0)
 		count[before]++
 		assert.Assert(t, before == three[2] || before == after)
 	}
@@ -59,3 +94,122 @@
 		assert.Assert(t, count[e] > 70, "%v", count)
 	}
 }
+
+// Guards the way home: an agent moves to a nearer entry only, waits until it has
+// been named for long enough, and waits longer for one that comes and goes.
+func TestMove(t *testing.T) {
+	both := []Entry{zoneA, zoneB}
+	tests := map[string]struct {
+		home    Entry
+		before  func(l *List)
+		min, at time.Duration
+	}{
+		"named by the first reply": {zoneB, func(*List) {}, 0, 0},
+		"back after a loss": {zoneB, func(l *List) {
+			l.Learn(0, both)
+			l.Learn(settle, both[1:])
+		}, returnAfter, 2 * returnAfter},
+		"failed three times": {zoneB, func(l *List) {
+			for range 3 {
+				l.Failed(settle, "a")
+			}
+		}, 4 * returnAfter, 8 * returnAfter},
+		"home is as near":    {zoneA, func(*List) {}, -1, -1},
+		"home is not placed": {Entry{Address: "a"}, func(*List) {}, -1, -1},
+		"full": {zoneA, func(l *List) {
+			l.Learn(0, both)
+			l.Full(settle, "a")
+		}, 0, 0},
+	}
+	for name, c := range tests {
+		t.Run(name, func(t *testing.T) {
+			l := newList("agent", "a", "b")
+			c.before(l)
+			l.Good(settle, c.home.Address)
+			entries := both
+			if c.home.Region == "" {
+				entries = []Entry{c.home, farther}
+			}
+			moved := time.Duration(-1)
+			for now := settle; now < time.Hour && moved < 0; now += time.Second {
+				l.Good(now, c.home.Address)
+				l.Learn(now, entries)
+				if l.Move(now) {
+					moved = now - settle
+					assert.Assert(t, next(t, l, now) != c.home.Address)
+				}
+			}
+			assert.Assert(t, c.min <= moved && moved <= c.at, "%v", moved)
+		})
+	}
+}
+
+// Guards against a zone whose entry is lost and whose agents all go to one other
+// entry, wander between full ones, or come back all in the same moment.
+func TestZoneLosesItsEntry(t *testing.T) {
+	const agents, limit, lost = 1100, 165, "r3-z1"
+	var entries []Entry
+	for i := range 11 {
+		region := fmt.Sprint("r", i/3)
+		entries = append(entries, Entry{fmt.Sprintf("%s-z%d", region, i%3), region, fmt.Sprintf("%s-z%d", region, i%3)})
+	}
+	lists, homes, moves := make([]*List, agents), make([]string, agents), 0
+	// step has every agent send a heartbeat and returns the agents of each entry.
+	step := func(now time.Duration, up []Entry) map[string]int {
+		count := map[string]int{}
+		for _, h := range homes {
+			count[h]++
+		}
+		for i, l := range lists {
+			if len(up) < len(entries) && homes[i] == lost {
+				l.Failed(now, lost)
+				homes[i] = ""
+			}
+			fresh := homes[i] == ""
+			if fresh {
+				homes[i] = next(t, l, now)
+				count[homes[i]]++
+				moves++
+			}
+			l.Good(now, homes[i])
+			l.Learn(now, up)
+			if fresh && homes[i] != l.cfg.Zone && count[homes[i]] > limit {
+				l.Full(now, homes[i])
+			}
+			if l.Move(now) {
+				count[homes[i]]--
+				homes[i] = ""
+			}
+		}
+		return count
+	}
+	for i := range lists {
+		at := entries[i%11]
+		lists[i] = New(Config{Name: fmt.Sprint("agent-", i), Region: at.Region, Zone: at.Zone, Seeds: []string{entries[0].Address}})
+	}
+	for now := range time.Duration(3) {
+		step(now*time.Second, entries)
+	}
+	assert.DeepEqual(t, step(3*time.Second, entries), map[string]int{
+		"r0-z0": 100, "r0-z1": 100, "r0-z2": 100, "r1-z0": 100, "r1-z1": 100, "r1-z2": 100,
+		"r2-z0": 100, "r2-z1": 100, "r2-z2": 100, "r3-z0": 100, "r3-z1": 100,
+	})
+	moves = 0
+	step(4*time.Second, entries[:10])
+	step(5*time.Second, entries[:10])
+	count := step(6*time.Second, entries[:10])
+	for e, n := range count {
+		assert.Assert(t, n <= limit, "%s: %v", e, count)
+	}
+	assert.Equal(t, count["r3-z0"], limit)
+	assert.Assert(t, moves < 200, "%d moves", moves)
+	lostMoves, most := moves, 0
+	for now := 7 * time.Second; now < time.Minute+20*time.Second; now += time.Second {
+		before := count[lost]
+		count = step(now, entries)
+		most = max(most, count[lost]-before)
+	}
+	t.Logf("%d moves after the loss, at most %d returns a second", lostMoves, most)
+	assert.Equal(t, count[lost], 100)
+	assert.Assert(t, most < 20, "%d in a second", most)
+}
--- a/internal/node/agent/announce.go
+++ b/internal/node/agent/announce.go
@@ -43,6 +43,8 @@
 // announcer keeps one Announce stream to the home entry.
 type announcer struct {
 	agent *Agent
+	// began is the zero of the list's time.
+	began time.Time
 	// settled is closed when the agent may announce itself.
 	settled chan struct{}
 
@@ -62,15 +64,22 @@
 }
 
 func newAnnouncer(a *Agent) *announcer {
+	now := time.Now()
 	return &announcer{
-		agent:    a,
-		list:     home.New(a.cfg.Name, a.cfg.Entries),
+		agent: a,
+		began: now,
+		list: home.New(home.Config{
+			Name: a.cfg.Name, Region: a.cfg.Region, Zone: a.cfg.Zone, Seeds: a.cfg.Entries,
+		}),
 		interval: firstInterval,
-		answered: time.Now(),
+		answered: now,
 		settled:  make(chan struct{}),
 	}
 }
 
+// now is the time that the list takes.
+func (n *announcer) now() time.Duration { return time.Since(n.began) }
+
 // run opens a stream to one entry after another.
 func (n *announcer) run(ctx context.Context) error {
 	select {
@@ -82,23 +91,37 @@
 	retry.InitialInterval, retry.MaxInterval = firstRetry, lastRetry
 	retry.Reset()
 	for ctx.Err() == nil {
-		if n.session(ctx) {
+		end := n.session(ctx)
+		if end != unanswered {
 			retry.Reset()
 		}
+		if end == moved {
+			continue
+		}
 		wait(ctx, time.Now().Add(retry.NextBackOff()), nil, nil)
 	}
 	return nil
 }
 
-// session holds one stream until it breaks or is silent, and reports whether
-// the entry answered on it.
-func (n *announcer) session(ctx context.Context) bool {
+// outcome says how a stream ended.
+type outcome uint8
+
+const (
+	unanswered outcome = iota
+	answered
+	// moved means that the agent left an entry that answers for a better one.
+	moved
+)
+
+// session holds one stream until it breaks, is silent, or another entry is a
+// better home.
+func (n *announcer) session(ctx context.Context) outcome {
 	n.mu.Lock()
-	entry, ok := n.list.Next()
+	entry, ok := n.list.Next(n.now())
 	n.raise()
 	n.mu.Unlock()
 	if !ok {
-		return false
+		return unanswered
 	}
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
@@ -107,24 +130,28 @@
 	// find one that it reaches before its isolation stops its tasks.
 	watchdog := time.AfterFunc(minSilence, cancel)
 	defer watchdog.Stop()
-	answered := false
+	end := unanswered
 	if s, err := n.agent.net.Announce(ctx, entry); err == nil {
-		answered = n.converse(ctx, cancel, &listener{
+		end = n.converse(ctx, cancel, &listener{
 			announcer: n, entry: entry, stream: s, watchdog: watchdog,
 			cancel: cancel, done: make(chan struct{}),
 		})
 	}
+	if end == moved {
+		n.agent.cfg.Log.Info("agent: moving to a better home entry", "from", entry)
+		return moved
+	}
 	n.mu.Lock()
 	n.up = false
-	n.list.Failed(entry)
+	n.list.Failed(n.now(), entry)
 	n.mu.Unlock()
 	n.agent.meters.reconnects.Inc(1)
-	n.agent.cfg.Log.Info("agent: announce stream ended", "entry", entry, "answered", answered)
-	return answered
+	n.agent.cfg.Log.Info("agent: announce stream ended", "entry", entry, "answered", end == answered)
+	return end
 }
 
 // converse sends on a stream until it ends and then waits for its listener.
-func (n *announcer) converse(ctx context.Context, cancel context.CancelFunc, l *listener) bool {
+func (n *announcer) converse(ctx context.Context, cancel context.CancelFunc, l *listener) outcome {
 	go l.run()
 	if err := (&speaker{announcer: n, stream: l.stream}).talk(ctx); err != nil {
 		n.agent.cfg.Log.Debug("agent: announce failed", "entry", l.entry, "error", err)
@@ -132,7 +159,7 @@
 	cancel()
 	l.stream.Close()
 	<-l.done
-	return l.answered
+	return l.end
 }
 
 // silence is the time without an answer after which a stream is given up.
@@ -172,9 +199,9 @@
 	stream    stream
 	watchdog  *time.Timer
 	cancel    context.CancelFunc
-	// answered may be read once done has closed.
-	answered bool
-	done     chan struct{}
+	// end may be read once done has closed.
+	end  outcome
+	done chan struct{}
 }
 
 func (l *listener) run() {
@@ -191,8 +218,13 @@
 			l.announcer.agent.cfg.Log.Error("agent: document not readable", "entry", l.entry, "error", err)
 			return
 		}
-		l.answered = true
-		l.watchdog.Reset(l.announcer.take(l.entry, reply, document))
+		l.end = answered
+		silence, move := l.announcer.take(l.entry, reply, document)
+		if move {
+			l.end = moved
+			return
+		}
+		l.watchdog.Reset(silence)
 	}
 }
 
@@ -204,17 +236,28 @@
 	return reply.GetDocument(), nil
 }
 
-// take applies an answer and returns how long the stream may be silent now.
-func (n *announcer) take(entry string, reply *inner.AnnounceReply, document []byte) time.Duration {
+// take applies an answer. It returns how long the stream may be silent now, and
+// whether to leave it for a better home.
+func (n *announcer) take(entry string, reply *inner.AnnounceReply, document []byte) (time.Duration, bool) {
 	n.agent.gangs.Release(reply.GetRelease(), time.Now())
 	n.agent.gangs.Over(reply.GetOver(), "the log says that the attempt is over", time.Now())
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	n.up, n.answered = true, time.Now()
-	n.list.Good(entry)
-	n.list.Learn(reply.GetEntries())
+	now := n.now()
+	n.list.Good(now, entry)
+	n.list.Learn(now, entriesOf(reply))
+	if reply.GetFull() {
+		n.list.Full(now, entry)
+	}
 	if d := reply.GetHeartbeat().AsDuration(); d > 0 {
+		before := n.interval
 		n.interval = min(max(d, minInterval), maxInterval)
+		if n.interval < before {
+			// The speaker waits for the end of the former interval, which the
+			// entry, and the limit of its silence, do not.
+			n.agent.news.report()
+		}
 	}
 	if reply.GetConfigVersion() > n.version && len(document) > 0 {
 		n.version, n.doc = reply.GetConfigVersion(), document
@@ -224,7 +267,15 @@
 		// The entry learns of the version in force from the next message.
 		n.agent.news.report()
 	}
-	return n.silence()
+	return n.silence(), n.list.Move(now)
+}
+
+func entriesOf(reply *inner.AnnounceReply) []home.Entry {
+	entries := make([]home.Entry, 0, len(reply.GetEntries()))
+	for _, e := range reply.GetEntries() {
+		entries = append(entries, home.Entry{Address: e.GetAddress(), Region: e.GetRegion(), Zone: e.GetZone()})
+	}
+	return entries
 }
 
 // current builds the agent's row and compares it with the newest one. A changed
--- a/internal/node/agent/announce_test.go
+++ b/internal/node/agent/announce_test.go
@@ -113,7 +113,7 @@
 			}
 			for name, e := range entries {
 				if len(e.messages()) > 0 {
-					e.answer(&inner.AnnounceReply{Heartbeat: durationpb.New(20 * time.Second), Entries: names})
+					e.answer(&inner.AnnounceReply{Heartbeat: durationpb.New(20 * time.Second), Entries: placed("", "", names...)})
 					time.Sleep(time.Second)
 				}
 				if name != live {
--- a/internal/node/peers/group.go
+++ b/internal/node/peers/group.go
@@ -319,18 +319,39 @@
 	g.changed = make(chan struct{})
 }
 
-func (g *Group) addresses() []string {
+// place is an entry as an agent hears of it.
+type place struct{ address, region, zone string }
+
+// places returns this entry and those that it hears.
+func (g *Group) places() []place {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	list := []string{g.cfg.Self.Address}
+	list := []place{{g.cfg.Self.Address, g.cfg.Self.Region, g.cfg.Self.Zone}}
 	for _, p := range g.peers.All() {
 		if !p.Lost {
-			list = append(list, p.Address)
+			list = append(list, place{p.Address, p.Region, p.Zone})
 		}
 	}
 	return list
 }
 
+func placeMessages(list []place) []*inner.EntryAddress {
+	messages := make([]*inner.EntryAddress, 0, len(list))
+	for _, p := range list {
+		messages = append(messages, &inner.EntryAddress{Address: p.address, Region: p.region, Zone: p.zone})
+	}
+	return messages
+}
+
+// full reports whether an agent should look for another home. An agent of this
+// entry's zone, and one that no other entry could take, should not.
+func (g *Group) full(m *inner.Member) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	others := g.peers.Live()
+	return others > 0 && m.GetZone() != g.cfg.Self.Zone && g.table.Crowded(others+1)
+}
+
 func peerMessage(p fleet.Peer) *inner.Peer {
 	return &inner.Peer{
 		Name: p.Name, Incarnation: p.Incarnation, Address: p.Address, Region: p.Region, Zone: p.Zone,
--- a/internal/node/peers/home.go
+++ b/internal/node/peers/home.go
@@ -34,7 +34,9 @@
 	// sentVersion, sentInterval and sentEntries are what this stream sent last.
 	sentVersion  int64
 	sentInterval time.Duration
-	sentEntries  []string
+	sentEntries  []place
+	// full is true until the agent was told to look for another home.
+	full bool
 }
 
 // Announce serves one agent until its stream ends.
@@ -112,8 +114,12 @@
 		s.group.heartbeat(s.name)
 		return true
 	}
+	first := s.name == ""
 	s.register(m.GetName())
 	s.group.hear(m)
+	if first {
+		s.full = s.group.full(m)
+	}
 	return true
 }
 
@@ -199,10 +205,11 @@
 		s.sentInterval = interval
 		reply.Heartbeat = durationpb.New(interval)
 	}
-	if entries := g.addresses(); !slices.Equal(entries, s.sentEntries) {
+	if entries := g.places(); !slices.Equal(entries, s.sentEntries) {
 		s.sentEntries = entries
-		reply.Entries = entries
+		reply.Entries = placeMessages(entries)
 	}
+	reply.Full, s.full = s.full, false
 	// A job that the fold does not know may be ahead of it, until the log has
 	// been read for long enough after the row came.
 	settled := g.cfg.Tail.Available() && g.Now()-row.Since > unknownGrace
--- a/internal/node/peers/notice_test.go
+++ b/internal/node/peers/notice_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"fmt"
 	"io"
 	"log/slog"
 	"testing"
@@ -145,3 +146,29 @@
 	hear("entry-3")
 	assert.Equal(t, len(ask(first.GetPeersDigest()).GetPeers()), 2)
 }
+
+// TestHomesOfAgents guards against an agent that cannot tell near entries from far
+// ones, and against one that a full entry keeps, or sends out of its own zone.
+func TestHomesOfAgents(t *testing.T) {
+	g := New(Config{
+		Self: fleet.Peer{Name: "entry-1", Address: "e1", Region: "pampa", Zone: "a"}, Metrics: stats.New(),
+		Tail: tail.New(tail.Config{Metrics: stats.New()}), Listener: deaf{}, Events: events.New(events.Config{}),
+	})
+	g.peers.Heard(g.Now(), fleet.Peer{Name: "entry-2", Address: "e2", Region: "cuyo", Zone: "c"})
+	announce := func(name, zone string) *inner.AnnounceReply {
+		s := &session{group: g}
+		assert.Assert(t, s.hear(&inner.AnnounceRequest{Member: &inner.Member{Name: name, Zone: zone, Incarnation: 1}}))
+		return s.reply()
+	}
+	for i := range 40 {
+		assert.Assert(t, !announce(fmt.Sprint("agent-", i), "b").GetFull())
+	}
+	assert.Assert(t, !announce("at-home", "a").GetFull())
+	reply := announce("one-too-many", "b")
+	assert.Assert(t, reply.GetFull())
+	assert.Equal(t, len(reply.GetEntries()), 2)
+	other := reply.GetEntries()[1]
+	assert.Equal(t, other.GetAddress()+other.GetRegion()+other.GetZone(), "e2cuyoc")
+	g.peers.Expire(time.Minute)
+	assert.Assert(t, !announce("without-another", "b").GetFull())
+}
--- a/internal/test/scale/bench_test.go
+++ b/internal/test/scale/bench_test.go
@@ -124,13 +124,13 @@
 
 // BenchmarkMessages reports the bytes of the messages of the membership.
 func BenchmarkMessages(b *testing.B) {
-	var entries []string
+	var entries []*inner.EntryAddress
 	var peers []*inner.Peer
 	for i := range targetEntries {
-		entries = append(entries, fmt.Sprintf("10.200.%d.10:7070", i))
+		address, region, zone := fmt.Sprintf("10.200.%d.10:7070", i), fmt.Sprint("region-", i%4), fmt.Sprint("zone-", i)
+		entries = append(entries, &inner.EntryAddress{Address: address, Region: region, Zone: zone})
 		peers = append(peers, &inner.Peer{
-			Name: fmt.Sprint("entry-", i), Incarnation: time.Now().UnixMilli(), Address: entries[i],
-			Region: fmt.Sprint("region-", i%4), Zone: fmt.Sprint("zone-", i),
+			Name: fmt.Sprint("entry-", i), Incarnation: time.Now().UnixMilli(), Address: address, Region: region, Zone: zone,
 		})
 	}
 	messages := map[string]proto.Message{
--- a/internal/test/scale/slopes_test.go
+++ b/internal/test/scale/slopes_test.go
@@ -54,6 +54,17 @@
 	for _, n := range []int{10, 20} {
 		t.Run(fmt.Sprint("agents=", n), func(t *testing.T) {
 			c := newCluster(t, layout{entries: entryCount, agents: n, accelerators: 8, zones: len(places)})
+			// There is one entry a zone, and each agent is homed at that of its own.
+			until(t, "homes by zone", func() string {
+				want := make([]int64, len(places))
+				for i := range n {
+					want[i/rackWorkers%len(places)]++
+				}
+				if homes := c.homes(); !slices.Equal(homes, want) {
+					return fmt.Sprint(homes, " instead of ", want)
+				}
+				return ""
+			})
 			p := c.window(shortWindow, nil)
 			p.print("idle")
 			for name, peak := range p.peaks {
