Silence is found by pings, whatever the heartbeat interval is

Cause: an agent and its home found each other's silence after three heartbeat intervals.

Ruled out: more heartbeats (0.32 ms each at the entry); kernel keepalive, which sees no stopped process; gRPC keepalive of the agent, which gRPC does not allow more often than each 10 s.

Change: an entry pings idle connections each 5 s and ends them 3 s later. It names the interval on the first answer (AnnounceReply.keepalive, field 14), and the agent notes when bytes came on its connection, so one ping serves both. An agent leaves a home of which nothing came for 8 s. An agent whose stream ended and that opened no other for 11 s is lost. Heartbeats keep their limit.

The waits of the scheduler are unchanged.

--- a/internal/core/fleet/fleet_test.go
+++ b/internal/core/fleet/fleet_test.go
@@ -49,23 +49,37 @@
 	noneLost := func(string) (time.Duration, bool) { return 0, false }
 	homeLost := func(string) (time.Duration, bool) { return time.Second, true }
 	tests := map[string]struct {
-		home string
-		now  time.Duration
-		lost func(string) (time.Duration, bool)
-		want int
+		home     string
+		now      time.Duration
+		lost     func(string) (time.Duration, bool)
+		want     int
+		fleet    int
+		departed time.Duration
+		back     bool
 	}{
-		"own, heard":                {"self", limit, noneLost, 0},
-		"own, silent":               {"self", limit + 1, noneLost, 1},
-		"of a live entry":           {"other", time.Hour, noneLost, 0},
-		"of a lost entry, at first": {"other", time.Second + orphanAfter, homeLost, 0},
-		"of a lost entry, later":    {"other", time.Second + orphanAfter + 1, homeLost, 1},
-		"without a home, at first":  {"", orphanAfter, noneLost, 0},
-		"without a home, later":     {"", orphanAfter + 1, noneLost, 1},
+		"own, heard":                {home: "self", now: limit, lost: noneLost, departed: limit},
+		"own, silent":               {home: "self", now: limit + 1, lost: noneLost, departed: limit, want: 1},
+		"of a live entry":           {home: "other", now: time.Hour, lost: noneLost},
+		"of a lost entry, at first": {home: "other", now: time.Second + orphanAfter, lost: homeLost},
+		"of a lost entry, later":    {home: "other", now: time.Second + orphanAfter + 1, lost: homeLost, want: 1},
+		"without a home, at first":  {now: orphanAfter, lost: noneLost},
+		"without a home, later":     {now: orphanAfter + 1, lost: noneLost, want: 1},
+		"stream ended, at first":    {home: "self", now: 1 + departedAfter, lost: noneLost, fleet: 800, departed: 1},
+		"stream ended, later":       {home: "self", now: 2 + departedAfter, lost: noneLost, fleet: 800, departed: 1, want: 1},
+		"stream opened again":       {home: "self", now: time.Minute, lost: noneLost, fleet: 800, departed: 1, back: true},
 	}
 	for name, tc := range tests {
 		t.Run(name, func(t *testing.T) {
 			table := New(Config{Self: "self"})
 			table.Learn(0, row("a", 1, 1), tc.home)
+			// 800 agents make the heartbeat interval 20 s.
+			for i := range tc.fleet {
+				table.Hear(0, row(fmt.Sprint("of the fleet ", i), 1, 1))
+			}
+			table.Depart(tc.departed, "a")
+			if tc.back {
+				table.Hear(tc.departed, row("a", 1, 1))
+			}
 			lost := table.Expire(tc.now, tc.lost)
 			assert.Equal(t, len(lost), tc.want)
 			got, _ := table.Get("a")
--- a/internal/core/fleet/table.go
+++ b/internal/core/fleet/table.go
@@ -18,6 +18,12 @@
 	// orphanAfter is how long the rows of a lost entry stay in use while its
 	// agents look for another home.
 	orphanAfter = 5 * time.Second
+	// departedAfter is how long an agent whose stream ended may take to come back,
+	// here or at another entry. An agent gives up a stream on which nothing came
+	// for 8 s, and what came before was under way for up to 3 s, the timeout of
+	// pings. With less than the sum, a ping that is late could put off the end of
+	// its isolation until after the scheduler's wait.
+	departedAfter = 11 * time.Second
 	// An entry has its share of the agents up to crowdPercent of their mean, and
 	// in any case up to heartbeatBudget of them. Two entries of three that share
 	// the agents of the third have 150%.
@@ -40,7 +46,10 @@
 	// Heard is when the home heard the agent, or when this entry got the row.
 	Heard time.Duration
 
-	index int64
+	// departed means that the agent's stream to this entry ended at departedAt.
+	departed   bool
+	departedAt time.Duration
+	index      int64
 }
 
 // Usable reports whether new work may be sent to the agent.
@@ -72,7 +81,11 @@
 // Hear stores a row that the agent itself announced to this entry. It reports
 // whether the row is news.
 func (t *Table) Hear(now time.Duration, m *inner.Member) bool {
-	return t.put(now, m, t.cfg.Self)
+	news := t.put(now, m, t.cfg.Self)
+	if !older(m, t.rows[m.GetName()].Member) {
+		t.Heartbeat(now, m.GetName())
+	}
+	return news
 }
 
 // Learn stores a row that the entry home heard. It reports whether the row is
@@ -129,6 +142,14 @@
 func (t *Table) Heartbeat(now time.Duration, name string) {
 	if row, ok := t.rows[name]; ok && row.Home == t.cfg.Self {
 		row.Heard = now
+		row.departed = false
+	}
+}
+
+// Depart notes that the agent's stream to this entry ended.
+func (t *Table) Depart(now time.Duration, name string) {
+	if row, ok := t.rows[name]; ok && row.Home == t.cfg.Self {
+		row.departed, row.departedAt = true, now
 	}
 }
 
@@ -149,7 +170,7 @@
 			continue
 		}
 		if row.Home == t.cfg.Self {
-			if now-row.Heard > limit {
+			if now-row.Heard > limit || row.departed && now-row.departedAt > departedAfter {
 				lost = append(lost, name)
 			}
 			continue
--- a/internal/node/agent/agent.go
+++ b/internal/node/agent/agent.go
@@ -89,8 +89,10 @@
 	Close()
 }
 
-// stream is one Announce stream. Close ends Send and Recv.
+// stream is one Announce stream. Close ends Send and Recv. Heard returns when
+// anything came from the entry last, be it a ping of the transport.
 type stream interface {
+	Heard() time.Time
 	Send(req *inner.AnnounceRequest) error
 	Recv() (*inner.AnnounceReply, error)
 	Close()
--- a/internal/node/agent/announce.go
+++ b/internal/node/agent/announce.go
@@ -10,7 +10,6 @@
 	"google.golang.org/protobuf/proto"
 
 	"github.com/chestnutpond/chestnutpond"
-	"github.com/chestnutpond/chestnutpond/internal/core/gangs"
 	"github.com/chestnutpond/chestnutpond/internal/core/home"
 	"github.com/chestnutpond/chestnutpond/internal/wire/inner"
 	"github.com/chestnutpond/chestnutpond/internal/wire/pack"
@@ -27,6 +26,9 @@
 	// silentIntervals is the number of silent heartbeat intervals after which a
 	// stream is given up.
 	silentIntervals = 3
+	// pingSlack is how late a ping of the entry may be before the stream is given
+	// up. The time in which fleet.Table calls the agent lost counts on it.
+	pingSlack = 3 * time.Second
 	// firstRetry and lastRetry bound the jittered pause before the next stream.
 	firstRetry = 100 * time.Millisecond
 	lastRetry  = 3 * time.Second
@@ -55,6 +57,13 @@
 	interval time.Duration
 	// answered is the time of the newest answer of any entry, or of the start.
 	answered time.Time
+	// stream is the one of the home, nil while none has been answered, and heard
+	// the newest sign on the one before.
+	stream stream
+	heard  time.Time
+	// keepalive is how often the newest home sends something at least; 0 if it
+	// does not say.
+	keepalive time.Duration
 	// version and doc are the newest document; version never goes down.
 	version int64
 	doc     []byte
@@ -128,8 +137,8 @@
 	// An entry that does not answer at first is left after minSilence, whatever
 	// the heartbeat interval is: an agent that is cut off from most entries must
 	// find one that it reaches before its isolation stops its tasks.
-	watchdog := time.AfterFunc(minSilence, cancel)
-	defer watchdog.Stop()
+	watchdog := newWatchdog(minSilence, cancel)
+	defer watchdog.stop()
 	end := unanswered
 	if s, err := n.agent.net.Announce(ctx, entry); err == nil {
 		end = n.converse(ctx, cancel, &listener{
@@ -159,6 +168,7 @@
 	cancel()
 	l.stream.Close()
 	<-l.done
+	n.detach()
 	return l.end
 }
 
@@ -167,13 +177,6 @@
 	return max(minSilence, silentIntervals*n.interval)
 }
 
-// isolated reports whether no entry has answered for too long.
-func (n *announcer) isolated(now time.Time) bool {
-	n.mu.Lock()
-	defer n.mu.Unlock()
-	return now.Sub(n.answered) >= max(gangs.IsolationLimit, n.silence()+isolationSlack)
-}
-
 func (n *announcer) connected() bool {
 	n.mu.Lock()
 	defer n.mu.Unlock()
@@ -197,7 +200,7 @@
 	announcer *announcer
 	entry     string
 	stream    stream
-	watchdog  *time.Timer
+	watchdog  *watchdog
 	cancel    context.CancelFunc
 	// end may be read once done has closed.
 	end  outcome
@@ -218,13 +221,16 @@
 			l.announcer.agent.cfg.Log.Error("agent: document not readable", "entry", l.entry, "error", err)
 			return
 		}
-		l.end = answered
-		silence, move := l.announcer.take(l.entry, reply, document)
+		if l.end == unanswered {
+			l.announcer.attach(l.stream, reply)
+			l.end = answered
+		}
+		silence, quiet, move := l.announcer.take(l.entry, reply, document)
 		if move {
 			l.end = moved
 			return
 		}
-		l.watchdog.Reset(silence)
+		l.watchdog.answered(silence, l.stream, quiet)
 	}
 }
 
@@ -236,9 +242,11 @@
 	return reply.GetDocument(), nil
 }
 
-// take applies an answer. It returns how long the stream may be silent now, and
-// whether to leave it for a better home.
-func (n *announcer) take(entry string, reply *inner.AnnounceReply, document []byte) (time.Duration, bool) {
+// take applies an answer. It returns how long the stream may be without an answer
+// now, and without any sign of the entry, and whether to leave it for a better home.
+func (n *announcer) take(
+	entry string, reply *inner.AnnounceReply, document []byte,
+) (silence, quiet time.Duration, move bool) {
 	n.agent.gangs.Release(reply.GetRelease(), time.Now())
 	n.agent.gangs.Over(reply.GetOver(), "the log says that the attempt is over", time.Now())
 	n.mu.Lock()
@@ -267,7 +275,10 @@
 		// The entry learns of the version in force from the next message.
 		n.agent.news.report()
 	}
-	return n.silence(), n.list.Move(now)
+	if n.keepalive > 0 {
+		quiet = n.keepalive + pingSlack
+	}
+	return n.silence(), quiet, n.list.Move(now)
 }
 
 func entriesOf(reply *inner.AnnounceReply) []home.Entry {
--- a/internal/node/agent/entry_test.go
+++ b/internal/node/agent/entry_test.go
@@ -17,6 +17,8 @@
 	// reply is the answer to each message; nil means none.
 	reply *inner.AnnounceReply
 	got   []*inner.AnnounceRequest
+	// hushed is since when the entry sends not even pings; zero while it does.
+	hushed time.Time
 	// streams are the open ones.
 	streams []*memStream
 }
@@ -67,6 +69,15 @@
 	}
 }
 
+func (s *memStream) Heard() time.Time {
+	s.entry.mu.Lock()
+	defer s.entry.mu.Unlock()
+	if s.entry.hushed.IsZero() {
+		return time.Now()
+	}
+	return s.entry.hushed
+}
+
 func (s *memStream) Close() { s.stop() }
 
 // answer sets the reply to each message from now on; nil withholds it.
@@ -74,6 +85,16 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	e.reply = reply
+	if reply != nil {
+		e.hushed = time.Time{}
+	}
+}
+
+// hush withholds answers and pings.
+func (e *fakeEntry) hush() {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.reply, e.hushed = nil, time.Now()
 }
 
 // breakAll ends all streams of the entry.
--- a/internal/node/entry/entry.go
+++ b/internal/node/entry/entry.go
@@ -14,7 +14,6 @@
 	"github.com/zeebo/errs"
 	"google.golang.org/grpc"
 	"google.golang.org/grpc/credentials"
-	"google.golang.org/grpc/keepalive"
 
 	"github.com/chestnutpond/chestnutpond"
 	"github.com/chestnutpond/chestnutpond/internal/core/fleet"
@@ -48,11 +47,6 @@
 	fleetSettle = 5 * time.Second
 	// headerTimeout bounds the reading of a request's header.
 	headerTimeout = 10 * time.Second
-	// keepaliveAfter and keepaliveTimeout end connections that went silent. Their
-	// Announce streams would otherwise stay open for ever, one for each time that
-	// an agent connected again.
-	keepaliveAfter   = 10 * time.Second
-	keepaliveTimeout = 5 * time.Second
 	// maxInnerMessage bounds an inner message, in bytes.
 	maxInnerMessage = 64 << 20
 )
@@ -253,7 +247,9 @@
 func (e *Entry) addInner(actors *run.Group) {
 	options := append(conns.ServerOptions(),
 		grpc.MaxRecvMsgSize(maxInnerMessage), grpc.MaxSendMsgSize(maxInnerMessage),
-		grpc.KeepaliveParams(keepalive.ServerParameters{Time: keepaliveAfter, Timeout: keepaliveTimeout}),
+		// The pings also end Announce streams that went silent, one for each time
+		// that an agent connected again.
+		conns.Pings(),
 	)
 	if e.cfg.ServerTLS != nil {
 		options = append(options, grpc.Creds(credentials.NewTLS(e.cfg.ServerTLS)))
--- a/internal/node/links/links.go
+++ b/internal/node/links/links.go
@@ -11,6 +11,7 @@
 import (
 	"context"
 	"crypto/tls"
+	"slices"
 	"sync"
 	"time"
 
@@ -131,7 +132,8 @@
 
 // Announce opens an Announce stream to an entry on a connection of its own.
 func (d *Dialer) Announce(ctx context.Context, address string) (*Stream, error) {
-	client, err := grpc.NewClient(target(address), d.options...)
+	signs := conns.NewSigns()
+	client, err := grpc.NewClient(target(address), append(slices.Clone(d.options), signs.Option())...)
 	if err != nil {
 		return nil, err
 	}
@@ -140,7 +142,7 @@
 		_ = client.Close()
 		return nil, err
 	}
-	return &Stream{client: client, stream: stream}, nil
+	return &Stream{client: client, stream: stream, signs: signs}, nil
 }
 
 // target keeps gRPC from resolving names: processes know each other by IP.
@@ -150,6 +152,7 @@
 type Stream struct {
 	client *grpc.ClientConn
 	stream grpc.BidiStreamingClient[inner.AnnounceRequest, inner.AnnounceReply]
+	signs  *conns.Signs
 }
 
 // Send sends one message.
@@ -158,6 +161,9 @@
 // Recv waits for one message.
 func (s *Stream) Recv() (*inner.AnnounceReply, error) { return s.stream.Recv() }
 
+// Heard returns when the entry last sent something on the connection, be it a ping.
+func (s *Stream) Heard() time.Time { return s.signs.Newest() }
+
 // Close closes the connection, which ends Send and Recv.
 func (s *Stream) Close() {
 	_ = s.client.Close()
--- a/internal/node/peers/home.go
+++ b/internal/node/peers/home.go
@@ -14,6 +14,7 @@
 	"github.com/chestnutpond/chestnutpond"
 	"github.com/chestnutpond/chestnutpond/internal/core/fleet"
 	"github.com/chestnutpond/chestnutpond/internal/core/ledger"
+	"github.com/chestnutpond/chestnutpond/internal/wire/conns"
 	"github.com/chestnutpond/chestnutpond/internal/wire/inner"
 )
 
@@ -35,6 +36,8 @@
 	sentVersion  int64
 	sentInterval time.Duration
 	sentEntries  []place
+	// greeted means that the first answer was sent.
+	greeted bool
 	// full is true until the agent was told to look for another home.
 	full bool
 }
@@ -210,6 +213,10 @@
 		reply.Entries = placeMessages(entries)
 	}
 	reply.Full, s.full = s.full, false
+	if !s.greeted {
+		s.greeted = true
+		reply.Keepalive = durationpb.New(conns.PingEvery)
+	}
 	// A job that the fold does not know may be ahead of it, until the log has
 	// been read for long enough after the row came.
 	settled := g.cfg.Tail.Available() && g.Now()-row.Since > unknownGrace
@@ -305,6 +312,7 @@
 	delete(g.notices, s)
 	if g.streams[s.name] == s {
 		delete(g.streams, s.name)
+		g.table.Depart(g.Now(), s.name)
 	}
 	g.mu.Unlock()
 }
--- a/internal/node/peers/peers_test.go
+++ b/internal/node/peers/peers_test.go
@@ -7,6 +7,8 @@
 	"time"
 
 	"gotest.tools/v3/assert"
+
+	"github.com/chestnutpond/chestnutpond/internal/wire/inner"
 )
 
 // settle is long enough for one exchange.
@@ -196,6 +198,27 @@
 	})
 }
 
+// Guards against an agent whose stream has ended and that stays in use for three
+// intervals of a large fleet, and against one that is called lost while it moves.
+func TestAgentOfLargeFleetIsLostSoon(t *testing.T) {
+	play(t, func(w *world, a, b, _ *entry) {
+		for i := range 800 {
+			a.hear(&inner.Member{Name: fmt.Sprint("of the fleet ", i), Incarnation: 1})
+		}
+		x := w.agent("x")
+		x.announce(a)
+		x.leave()
+		time.Sleep(10 * time.Second)
+		x.announce(a)
+		time.Sleep(12 * time.Second)
+		assert.Equal(t, a.view(x), "up 2")
+		x.leave()
+		time.Sleep(12 * time.Second)
+		assert.Equal(t, a.view(x), "lost 2")
+		assert.Equal(t, b.view(x), "lost 2")
+	})
+}
+
 // Guards against a replaced entry host whose address is in nobody's settings: the
 // others must learn of it because it asks one of them.
 func TestNewEntryIsLearned(t *testing.T) {
