Merge homes by zone and region, and silence found by pings

Cause: agents chose their home entry by address alone, so a cut region took the home of 2 of 3 agents with it, and a silent stream was found after three heartbeat intervals, 57 s at 755 agents an entry.

Ruled out: keepalive by the agents, which grpc-go raises to 10 s; shorter heartbeats, which cost an entry 0.32 ms each.

Change: own zone, own region, then others, with a cap and a slow return; the entry pings each 5 s and the agent watches for bytes.

--- a/internal/core/fleet/fleet_test.go
+++ b/internal/core/fleet/fleet_test.go
@@ -1,6 +1,7 @@
 package fleet
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -48,23 +49,37 @@
 	noneLost := func(string) (time.Duration, bool) { return 0, false }
 	homeLost := func(string) (time.Duration, bool) { return time.Second, true }
 	tests := map[string]struct {
-		home string
-		now  time.Duration
-		lost func(string) (time.Duration, bool)
-		want int
+		home     string
+		now      time.Duration
+		lost     func(string) (time.Duration, bool)
+		want     int
+		fleet    int
+		departed time.Duration
+		back     bool
 	}{
-		"own, heard":                {"self", limit, noneLost, 0},
-		"own, silent":               {"self", limit + 1, noneLost, 1},
-		"of a live entry":           {"other", time.Hour, noneLost, 0},
-		"of a lost entry, at first": {"other", time.Second + orphanAfter, homeLost, 0},
-		"of a lost entry, later":    {"other", time.Second + orphanAfter + 1, homeLost, 1},
-		"without a home, at first":  {"", orphanAfter, noneLost, 0},
-		"without a home, later":     {"", orphanAfter + 1, noneLost, 1},
+		"own, heard":                {home: "self", now: limit, lost: noneLost, departed: limit},
+		"own, silent":               {home: "self", now: limit + 1, lost: noneLost, departed: limit, want: 1},
+		"of a live entry":           {home: "other", now: time.Hour, lost: noneLost},
+		"of a lost entry, at first": {home: "other", now: time.Second + orphanAfter, lost: homeLost},
+		"of a lost entry, later":    {home: "other", now: time.Second + orphanAfter + 1, lost: homeLost, want: 1},
+		"without a home, at first":  {now: orphanAfter, lost: noneLost},
+		"without a home, later":     {now: orphanAfter + 1, lost: noneLost, want: 1},
+		"stream ended, at first":    {home: "self", now: 1 + departedAfter, lost: noneLost, fleet: 800, departed: 1},
+		"stream ended, later":       {home: "self", now: 2 + departedAfter, lost: noneLost, fleet: 800, departed: 1, want: 1},
+		"stream opened again":       {home: "self", now: time.Minute, lost: noneLost, fleet: 800, departed: 1, back: true},
 	}
 	for name, tc := range tests {
 		t.Run(name, func(t *testing.T) {
 			table := New(Config{Self: "self"})
 			table.Learn(0, row("a", 1, 1), tc.home)
+			// 800 agents make the heartbeat interval 20 s.
+			for i := range tc.fleet {
+				table.Hear(0, row(fmt.Sprint("of the fleet ", i), 1, 1))
+			}
+			table.Depart(tc.departed, "a")
+			if tc.back {
+				table.Hear(tc.departed, row("a", 1, 1))
+			}
 			lost := table.Expire(tc.now, tc.lost)
 			assert.Equal(t, len(lost), tc.want)
 			got, _ := table.Get("a")
@@ -116,6 +131,33 @@
 	assert.Equal(t, table.Interval(), 10*time.Second)
 }
 
+// TestCrowded guards against a home that sends agents away although it has no
+// more than its share, or because its region is cut off.
+func TestCrowded(t *testing.T) {
+	tests := map[string]struct {
+		own, others, entries int
+		want                 bool
+	}{
+		"small fleet":       {heartbeatBudget, 0, 3, false},
+		"a share and half":  {150, 150, 3, false},
+		"more than that":    {151, 149, 3, true},
+		"after a cut":       {151, 149, 2, false},
+		"nobody else there": {500, 0, 1, false},
+	}
+	for name, tc := range tests {
+		t.Run(name, func(t *testing.T) {
+			table := New(Config{Self: "self"})
+			for i := range tc.own {
+				table.Hear(0, row(fmt.Sprint("own-", i), 1, 1))
+			}
+			for i := range tc.others {
+				table.Learn(0, row(fmt.Sprint("other-", i), 1, 1), "other")
+			}
+			assert.Equal(t, table.Crowded(tc.entries), tc.want)
+		})
+	}
+}
+
 // TestRank guards against two entries that both think they come first.
 func TestRank(t *testing.T) {
 	peers := []Peer{
--- a/internal/node/agent/announce.go
+++ b/internal/node/agent/announce.go
@@ -10,7 +10,6 @@
 	"google.golang.org/protobuf/proto"
 
 	"github.com/chestnutpond/chestnutpond"
-	"github.com/chestnutpond/chestnutpond/internal/core/gangs"
 	"github.com/chestnutpond/chestnutpond/internal/core/home"
 	"github.com/chestnutpond/chestnutpond/internal/wire/inner"
 )
@@ -26,6 +25,9 @@
 	// silentIntervals is the number of silent heartbeat intervals after which a
 	// stream is given up.
 	silentIntervals = 3
+	// pingSlack is how late a ping of the entry may be before the stream is given
+	// up. The time in which fleet.Table calls the agent lost counts on it.
+	pingSlack = 3 * time.Second
 	// firstRetry and lastRetry bound the jittered pause before the next stream.
 	firstRetry = 100 * time.Millisecond
 	lastRetry  = 3 * time.Second
@@ -39,6 +41,8 @@
 // announcer keeps one Announce stream to the home entry.
 type announcer struct {
 	agent *Agent
+	// began is the zero of the list's time.
+	began time.Time
 	// settled is closed when the agent may announce itself.
 	settled chan struct{}
 
@@ -49,6 +53,13 @@
 	interval time.Duration
 	// answered is the time of the newest answer of any entry, or of the start.
 	answered time.Time
+	// stream is the one of the home, nil while none has been answered, and heard
+	// the newest sign on the one before.
+	stream stream
+	heard  time.Time
+	// keepalive is how often the newest home sends something at least; 0 if it
+	// does not say.
+	keepalive time.Duration
 	// version is the highest document version in force at an entry that answered;
 	// it never goes down.
 	version int64
@@ -58,15 +69,22 @@
 }
 
 func newAnnouncer(a *Agent) *announcer {
+	now := time.Now()
 	return &announcer{
-		agent:    a,
-		list:     home.New(a.cfg.Name, a.cfg.Entries),
+		agent: a,
+		began: now,
+		list: home.New(home.Config{
+			Name: a.cfg.Name, Region: a.cfg.Region, Zone: a.cfg.Zone, Seeds: a.cfg.Entries,
+		}),
 		interval: firstInterval,
-		answered: time.Now(),
+		answered: now,
 		settled:  make(chan struct{}),
 	}
 }
 
+// now is the time that the list takes.
+func (n *announcer) now() time.Duration { return time.Since(n.began) }
+
 // run opens a stream to one entry after another.
 func (n *announcer) run(ctx context.Context) error {
 	select {
@@ -78,49 +96,67 @@
 	retry.InitialInterval, retry.MaxInterval = firstRetry, lastRetry
 	retry.Reset()
 	for ctx.Err() == nil {
-		if n.session(ctx) {
+		end := n.session(ctx)
+		if end != unanswered {
 			retry.Reset()
 		}
+		if end == moved {
+			continue
+		}
 		wait(ctx, time.Now().Add(retry.NextBackOff()), nil)
 	}
 	return nil
 }
 
-// session holds one stream until it breaks or is silent, and reports whether
-// the entry answered on it.
-func (n *announcer) session(ctx context.Context) bool {
+// outcome says how a stream ended.
+type outcome uint8
+
+const (
+	unanswered outcome = iota
+	answered
+	// moved means that the agent left an entry that answers for a better one.
+	moved
+)
+
+// session holds one stream until it breaks, is silent, or another entry is a
+// better home.
+func (n *announcer) session(ctx context.Context) outcome {
 	n.mu.Lock()
-	entry, ok := n.list.Next()
+	entry, ok := n.list.Next(n.now())
 	n.raise()
 	n.mu.Unlock()
 	if !ok {
-		return false
+		return unanswered
 	}
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	// An entry that does not answer at first is left after minSilence, whatever
 	// the heartbeat interval is: an agent that is cut off from most entries must
 	// find one that it reaches before its isolation stops its tasks.
-	watchdog := time.AfterFunc(minSilence, cancel)
-	defer watchdog.Stop()
-	answered := false
+	watchdog := newWatchdog(minSilence, cancel)
+	defer watchdog.stop()
+	end := unanswered
 	if s, err := n.agent.net.Announce(ctx, entry); err == nil {
-		answered = n.converse(ctx, cancel, &listener{
+		end = n.converse(ctx, cancel, &listener{
 			announcer: n, entry: entry, stream: s, watchdog: watchdog,
 			cancel: cancel, done: make(chan struct{}),
 		})
 	}
+	if end == moved {
+		n.agent.cfg.Log.Info("agent: moving to a better home entry", "from", entry)
+		return moved
+	}
 	n.mu.Lock()
 	n.up = false
-	n.list.Failed(entry)
+	n.list.Failed(n.now(), entry)
 	n.mu.Unlock()
 	n.agent.meters.reconnects.Inc(1)
-	n.agent.cfg.Log.Info("agent: announce stream ended", "entry", entry, "answered", answered)
-	return answered
+	n.agent.cfg.Log.Info("agent: announce stream ended", "entry", entry, "answered", end == answered)
+	return end
 }
 
 // converse sends on a stream until it ends and then waits for its listener.
-func (n *announcer) converse(ctx context.Context, cancel context.CancelFunc, l *listener) bool {
+func (n *announcer) converse(ctx context.Context, cancel context.CancelFunc, l *listener) outcome {
 	go l.run()
 	if err := (&speaker{announcer: n, stream: l.stream}).talk(ctx); err != nil {
 		n.agent.cfg.Log.Debug("agent: announce failed", "entry", l.entry, "error", err)
@@ -128,7 +164,8 @@
 	cancel()
 	l.stream.Close()
 	<-l.done
-	return l.answered
+	n.detach()
+	return l.end
 }
 
 // silence is the time without an answer after which a stream is given up.
@@ -136,13 +173,6 @@
 	return max(minSilence, silentIntervals*n.interval)
 }
 
-// isolated reports whether no entry has answered for too long.
-func (n *announcer) isolated(now time.Time) bool {
-	n.mu.Lock()
-	defer n.mu.Unlock()
-	return now.Sub(n.answered) >= max(gangs.IsolationLimit, n.silence()+isolationSlack)
-}
-
 func (n *announcer) connected() bool {
 	n.mu.Lock()
 	defer n.mu.Unlock()
@@ -166,11 +196,11 @@
 	announcer *announcer
 	entry     string
 	stream    stream
-	watchdog  *time.Timer
+	watchdog  *watchdog
 	cancel    context.CancelFunc
-	// answered may be read once done has closed.
-	answered bool
-	done     chan struct{}
+	// end may be read once done has closed.
+	end  outcome
+	done chan struct{}
 }
 
 func (l *listener) run() {
@@ -181,22 +211,41 @@
 		if err != nil {
 			return
 		}
-		l.answered = true
-		l.watchdog.Reset(l.announcer.take(l.entry, reply))
+		if l.end == unanswered {
+			l.announcer.attach(l.stream, reply)
+			l.end = answered
+		}
+		silence, quiet, move := l.announcer.take(l.entry, reply)
+		if move {
+			l.end = moved
+			return
+		}
+		l.watchdog.answered(silence, l.stream, quiet)
 	}
 }
 
-// take applies an answer and returns how long the stream may be silent now.
-func (n *announcer) take(entry string, reply *inner.AnnounceReply) time.Duration {
+// take applies an answer. It returns how long the stream may be without an answer
+// now, and without any sign of the entry, and whether to leave it for a better home.
+func (n *announcer) take(entry string, reply *inner.AnnounceReply) (silence, quiet time.Duration, move bool) {
 	n.agent.gangs.Release(reply.GetRelease(), time.Now())
 	n.agent.gangs.Over(reply.GetOver(), "the log says that the attempt is over", time.Now())
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	n.up, n.answered = true, time.Now()
-	n.list.Good(entry)
-	n.list.Learn(reply.GetEntries())
+	now := n.now()
+	n.list.Good(now, entry)
+	n.list.Learn(now, entriesOf(reply))
+	if reply.GetFull() {
+		n.list.Full(now, entry)
+	}
 	if d := reply.GetHeartbeat().AsDuration(); d > 0 {
+		before := n.interval
 		n.interval = min(max(d, minInterval), maxInterval)
+		if n.interval < before {
+			// The speaker waits for the end of the former interval, which the
+			// entry, and the limit of its silence, do not.
+			n.agent.news.signal()
+		}
 	}
 	if reply.GetConfigVersion() > n.version {
 		n.version = reply.GetConfigVersion()
@@ -204,7 +253,18 @@
 			Kind: chestnutpond.EventConfigInForce, Detail: fmt.Sprintf("version %d", n.version),
 		})
 	}
-	return n.silence()
+	if n.keepalive > 0 {
+		quiet = n.keepalive + pingSlack
+	}
+	return n.silence(), quiet, n.list.Move(now)
+}
+
+func entriesOf(reply *inner.AnnounceReply) []home.Entry {
+	entries := make([]home.Entry, 0, len(reply.GetEntries()))
+	for _, e := range reply.GetEntries() {
+		entries = append(entries, home.Entry{Address: e.GetAddress(), Region: e.GetRegion(), Zone: e.GetZone()})
+	}
+	return entries
 }
 
 // current builds the agent's row and compares it with the newest one. A changed
--- a/internal/node/peers/home.go
+++ b/internal/node/peers/home.go
@@ -14,6 +14,7 @@
 	"github.com/chestnutpond/chestnutpond"
 	"github.com/chestnutpond/chestnutpond/internal/core/fleet"
 	"github.com/chestnutpond/chestnutpond/internal/core/ledger"
+	"github.com/chestnutpond/chestnutpond/internal/wire/conns"
 	"github.com/chestnutpond/chestnutpond/internal/wire/inner"
 )
 
@@ -34,7 +35,11 @@
 	// sentVersion, sentInterval and sentEntries are what this stream sent last.
 	sentVersion  int64
 	sentInterval time.Duration
-	sentEntries  []string
+	sentEntries  []place
+	// greeted means that the first answer was sent.
+	greeted bool
+	// full is true until the agent was told to look for another home.
+	full bool
 }
 
 // Announce serves one agent until its stream ends.
@@ -112,8 +117,12 @@
 		s.group.heartbeat(s.name)
 		return true
 	}
+	first := s.name == ""
 	s.register(m.GetName())
 	s.group.hear(m)
+	if first {
+		s.full = s.group.full(m)
+	}
 	return true
 }
 
@@ -199,9 +208,14 @@
 		s.sentInterval = interval
 		reply.Heartbeat = durationpb.New(interval)
 	}
-	if entries := g.addresses(); !slices.Equal(entries, s.sentEntries) {
+	if entries := g.places(); !slices.Equal(entries, s.sentEntries) {
 		s.sentEntries = entries
-		reply.Entries = entries
+		reply.Entries = placeMessages(entries)
+	}
+	reply.Full, s.full = s.full, false
+	if !s.greeted {
+		s.greeted = true
+		reply.Keepalive = durationpb.New(conns.PingEvery)
 	}
 	// A job that the fold does not know may be ahead of it, until the log has
 	// been read for long enough after the row came.
@@ -295,6 +309,7 @@
 	delete(g.notices, s)
 	if g.streams[s.name] == s {
 		delete(g.streams, s.name)
+		g.table.Depart(g.Now(), s.name)
 	}
 	g.mu.Unlock()
 }
