A new entry learns from a peer what callers usually get

Cause: the admission core can hand on the usual rates of callers (Usual, Learn), but no process sent them.

Ruled out: a call of its own (a second set of rules for peers and tries), and a list in every exchange (up to 48 KB a second for nothing).

Change: ExchangeRequest.want_habits and ExchangeReply.habits. The wire format grows by two optional fields; an older peer ignores the question. An entry asks in its first minute, one peer at a time, until it has learned. A list has at most 1,024 habits and 48 KB, and an entry gives one away each 12 s at most, which is 4 KB/s. A queue learns once, only with a document, and only from a past that is longer than its own, which it drops. Learn used to have an effect only before the first request; a real entry gets requests before the answer of its peer.

Before and after: TestNewEntryLearnsHabits (two request paths through the exchange of two groups, with lost answers, a late document and a restart) fails with a rate of 0 while nothing asks, and passes with the change. TestHabitsAreBounded guards the size, and lists that are applied twice.

--- a/internal/core/admit/learn.go
+++ b/internal/core/admit/learn.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"math"
 	"slices"
 	"time"
 
@@ -37,25 +38,37 @@
 	return slices.Clip(list[:min(limit, len(list))])
 }
 
-// Learn takes over what a peer's Usual returned. It has an effect only on a queue
-// that has a document and was offered nothing yet. Accounts and kinds that are not
-// in the document are left out.
-func (q *Queue) Learn(now time.Duration, list []Usual) {
-	if q.started || len(list) == 0 {
-		return
+// Past returns the time over which the queue knows what is usual.
+func (q *Queue) Past(now time.Duration) time.Duration {
+	if !q.started {
+		return 0
+	}
+	return now - q.knownSince
+}
+
+// Learn takes over what a peer's Usual returned, and reports whether it did. The
+// past is the peer's Past. A queue learns once, and only from a peer with a longer
+// past than its own. Accounts and kinds that are not in the document are left out,
+// so a queue without a document learns nothing. What the queue saw itself until
+// then is dropped; it would count twice.
+func (q *Queue) Learn(now, past time.Duration, list []Usual) bool {
+	if q.learned || q.present == 0 || len(list) == 0 || past <= q.Past(now) {
+		return false
 	}
 	// The rates are averages over a long past, not over the age of this queue.
 	over := q.cfg.UsualTime
-	q.started, q.start = true, now-10*over
+	q.learned, q.started, q.start, q.knownSince = true, true, now-10*over, now-past
+	q.dropUsage()
 	for _, u := range list {
 		a, ok := q.accounts[u.Account]
-		if !ok || !q.kinds[u.Kind] || u.Rate <= 0 || q.known >= q.cfg.CallerLimit {
+		if !ok || !q.kinds[u.Kind] || !(u.Rate > 0) || math.IsInf(u.Rate, 1) || q.known >= q.cfg.CallerLimit {
 			continue
 		}
 		c := a.callers[u.Caller]
 		if c == nil {
 			c = q.addCaller(a, now-over, u.Caller)
 		}
+		c.since = min(c.since, now-over)
 		w := q.lane(u.Kind, u.Class, false).work
 		for _, s := range []*usage{&c.habit(now, w).used, &c.used, a.total(w), &a.used, &q.used} {
 			s.fade(now, over)
@@ -72,4 +85,22 @@
 			}
 		}
 	}
+	return true
+}
+
+// dropUsage forgets all past service.
+func (q *Queue) dropUsage() {
+	q.used.sum = 0
+	for _, a := range q.accounts {
+		a.used.sum = 0
+		for _, h := range a.totals {
+			h.used.sum = 0
+		}
+		for _, c := range a.callers {
+			c.used.sum = 0
+			for _, h := range c.habits {
+				h.used.sum = 0
+			}
+		}
+	}
 }
--- a/internal/core/admit/queue.go
+++ b/internal/core/admit/queue.go
@@ -58,6 +58,11 @@
 	// start is when the first request came, once it has.
 	start   time.Duration
 	started bool
+	// knownSince is from when on usual service is known; that is before start if
+	// it was learned.
+	knownSince time.Duration
+	// learned is set once Learn took a list over.
+	learned bool
 	// known counts the callers in memory; idle lists those without requests,
 	// oldest first.
 	known               int
@@ -108,7 +113,7 @@
 		return q.refuse(chestnutpond.ReasonInProgress, 0)
 	}
 	if !q.started {
-		q.started, q.start = true, now
+		q.started, q.start, q.knownSince = true, now, now
 	}
 	c := a.callers[it.Caller]
 	if c == nil {
--- a/internal/node/entry/entry.go
+++ b/internal/node/entry/entry.go
@@ -163,7 +163,7 @@
 		Self: fleet.Peer{
 			Name: cfg.Name, Incarnation: cfg.Incarnation, Address: cfg.Advertise, Region: cfg.Region, Zone: cfg.Zone,
 		},
-		Entries: cfg.Entries, Dialer: e.pool, Tail: e.tail, Listener: e,
+		Entries: cfg.Entries, Dialer: e.pool, Tail: e.tail, Listener: e, Habits: e,
 		Events: cfg.Events, Logger: cfg.Logs.Logger("peers"), Metrics: cfg.Metrics,
 	})
 	e.serve = serve.New(serve.Config{
@@ -313,6 +313,12 @@
 	e.fleetChanged[row.Member.GetRegion()] = time.Now()
 }
 
+// Habits returns what callers usually get at this entry.
+func (e *Entry) Habits() *inner.Habits { return e.serve.Habits() }
+
+// LearnHabits takes over what another entry knows of callers.
+func (e *Entry) LearnHabits(list *inner.Habits) bool { return e.serve.LearnHabits(list) }
+
 // AgentForgotten tells the parts that an agent left the table.
 func (e *Entry) AgentForgotten(name string) {
 	e.mu.Lock()
--- a/internal/node/peers/group.go
+++ b/internal/node/peers/group.go
@@ -74,9 +74,11 @@
 	Dialer   Dialer
 	Tail     *tail.Tail
 	Listener Listener
-	Events   chestnutpond.EventSink
-	Logger   *slog.Logger
-	Metrics  *stats.Registry
+	// Habits gives and takes what callers usually get; nil exchanges none.
+	Habits  Habits
+	Events  chestnutpond.EventSink
+	Logger  *slog.Logger
+	Metrics *stats.Registry
 }
 
 // Group is the membership of one entry.
@@ -101,6 +103,10 @@
 	// streams are the newest Announce streams by the agent's name.
 	streams  map[string]*session
 	draining bool
+	// habitsAsked is set while an exchange asks for habits, habitsLearned once a
+	// list was taken over. habitsGiven is when this entry gave one away last.
+	habitsAsked, habitsLearned bool
+	habitsGiven                time.Duration
 	// cutSince is since when this entry is cut off; zero while it is not.
 	cutSince time.Duration
 	// running is the context of Run; nil before it.
--- a/internal/node/peers/poll.go
+++ b/internal/node/peers/poll.go
@@ -92,10 +92,14 @@
 	}
 	ectx, cancel := context.WithTimeout(ctx, exchangeTimeout)
 	defer cancel()
+	ask := p.group.askHabits()
 	reply, err := inner.NewEntryClient(conn).Exchange(ectx, &inner.ExchangeRequest{
 		From: peerMessage(p.group.cfg.Self), Since: p.since, Table: p.table, Wait: durationpb.New(exchangeWait),
-		KnownPeers: p.known,
+		KnownPeers: p.known, WantHabits: ask,
 	})
+	if ask {
+		p.group.hearHabits(reply.GetHabits())
+	}
 	if err != nil {
 		if ectx.Err() != nil && ctx.Err() == nil {
 			p.group.cfg.Dialer.Replace(p.address, conn)
@@ -162,6 +166,9 @@
 		wait(ctx, changed, req.GetWait().AsDuration())
 	}
 	reply := g.exchangeReply(since, req.GetKnownPeers())
+	if req.GetWantHabits() {
+		reply.Habits = g.giveHabits()
+	}
 	size := int64(proto.Size(reply))
 	g.meters.exchangeSent.Inc(size)
 	if req.GetFrom().GetRegion() != g.cfg.Self.Region {
--- a/internal/node/serve/server.go
+++ b/internal/node/serve/server.go
@@ -16,6 +16,7 @@
 	"github.com/chestnutpond/chestnutpond/internal/core/route"
 	"github.com/chestnutpond/chestnutpond/internal/node/tail"
 	"github.com/chestnutpond/chestnutpond/internal/obs/stats"
+	"github.com/chestnutpond/chestnutpond/internal/wire/inner"
 )
 
 const (
@@ -98,9 +99,13 @@
 	meters *meters
 
 	// mu guards the cores and the fields below. No other lock is taken under it.
-	mu      sync.Mutex
-	queue   *admit.Queue
-	router  *route.Router
+	mu     sync.Mutex
+	queue  *admit.Queue
+	router *route.Router
+	// classes are those of the document's kinds; empty without a document.
+	classes map[string]chestnutpond.Class
+	// habits is a list of another entry that waits for a document; nil if none.
+	habits  *inner.Habits
 	waiting map[string]*waiter
 	// open counts the requests that are not answered yet.
 	open     int
@@ -165,6 +170,8 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.queue.SetDocument(doc)
+	s.classes = classesOf(doc)
+	s.learn()
 	s.dispatch()
 }
 
