Only a caller's single waiting request is served before its deadline

Cause: in a flood by known callers the request with the nearest deadline is nearly always one of the flood, which used up the bound of one in 1,000.

Change: a request is served out of turn only if its caller has no other waiting.

--- a/internal/core/admit/prop_test.go
+++ b/internal/core/admit/prop_test.go
@@ -357,6 +357,7 @@
 		"not near":        {1, 9000 * time.Millisecond, "xy", "1"},
 		"near, bound":     {0.1, 9300 * time.Millisecond, "xy", "1"},
 		"near, no target": {1, 9300 * time.Millisecond, "x", "1"},
+		"near, of many":   {1, 9300 * time.Millisecond, "xyz", "1"},
 	} {
 		t.Run(name, func(t *testing.T) {
 			q := newTestQueue(Config{DeadlineShare: c.share})
@@ -364,6 +365,9 @@
 				q.Offer(0, Item{ID: fmt.Sprint(i), Account: "a", Caller: fmt.Sprint(i), Kind: "x", Class: chestnutpond.ClassUrgent})
 			}
 			q.Offer(0, Item{ID: "n", Account: "b", Caller: "c", Kind: "y", Class: chestnutpond.ClassBulk, Deadline: 10 * time.Second})
+			if c.servable == "xyz" {
+				q.Offer(0, Item{ID: "m", Account: "b", Caller: "c", Kind: "z"})
+			}
 			_, _ = q.Next(0, anyKind)
 			it, _ := q.Next(c.at, func(kind string) bool { return strings.Contains(c.servable, kind) })
 			assert.Equal(t, it.ID, c.want)
--- a/internal/core/admit/serve.go
+++ b/internal/core/admit/serve.go
@@ -53,7 +53,8 @@
 }
 
 // nearDeadline returns the request that must start now to be answered in time, if
-// it is the first of its caller and the bound on such requests allows it.
+// it is the only one of its caller that waits and the bound on such requests allows
+// it. A caller that floods has more waiting, and would use up the bound.
 func (q *Queue) nearDeadline(now time.Duration, canServe func(kind string) bool) *waiter {
 	if q.ahead < 1 || q.deadline.Len() == 0 {
 		return nil
@@ -61,7 +62,7 @@
 	w := q.deadline.Top()
 	k := w.flow.share.lane.work
 	due := w.giveUp - time.Duration(k.mean*float64(time.Second))
-	if now < due || w != w.flow.first || !canServe(k.kind) {
+	if now < due || w.flow.caller.waiting > 1 || !canServe(k.kind) {
 		return nil
 	}
 	q.ahead--
