--- a/internal/node/peers/world_test.go
+++ b/internal/node/peers/world_test.go
@@ -45,14 +45,12 @@
 	entries map[string]*entry
 	// judge decides about each exchange; nil delivers all.
 	judge func(from, to string) fate
-	// habits are those of entries by name, set before they start.
-	habits map[string]Habits
 	// exchanges counts the exchanges that were sent.
 	exchanges int
 }
 
 func newWorld(t *testing.T) *world {
-	return &world{t: t, entries: make(map[string]*entry), habits: make(map[string]Habits)}
+	return &world{t: t, entries: make(map[string]*entry)}
 }
 
 func (w *world) setJudge(judge func(from, to string) fate) {
@@ -87,7 +85,7 @@
 	origin := ledger.Origin{Process: name, Incarnation: incarnation}
 	e.Group = New(Config{
 		Self:    fleet.Peer{Name: name, Incarnation: incarnation, Address: name, Region: "pampa", Zone: "a"},
-		Entries: entries, Dialer: e, Listener: e, Habits: w.habits[name], Events: noEvents{}, Logger: logger, Metrics: e.metrics,
+		Entries: entries, Dialer: e, Listener: e, Events: noEvents{}, Logger: logger, Metrics: e.metrics,
 		Tail: tail.New(tail.Config{Log: stand.NewLog("s"), Origin: origin, Events: noEvents{}, Logger: logger, Metrics: e.metrics}),
 	})
 	ctx, cancel := context.WithCancel(w.t.Context())
--- a/internal/node/serve/fake_test.go
+++ b/internal/node/serve/fake_test.go
@@ -17,6 +17,7 @@
 	"github.com/chestnutpond/chestnutpond"
 	"github.com/chestnutpond/chestnutpond/internal/core/fleet"
 	"github.com/chestnutpond/chestnutpond/internal/core/ledger"
+	"github.com/chestnutpond/chestnutpond/internal/node/peers"
 	"github.com/chestnutpond/chestnutpond/internal/node/tail"
 	"github.com/chestnutpond/chestnutpond/internal/obs/events"
 	"github.com/chestnutpond/chestnutpond/internal/obs/stats"
@@ -188,10 +189,15 @@
 	agents  map[string]*fakeAgent
 	entries map[string]*Server
 	down    map[string]bool
+	// groups are the memberships of entries, lost the answers to exchanges that
+	// are to get lost.
+	groups map[string]*peers.Group
+	lost   int
 }
 
 func newWorld(agents ...*fakeAgent) *world {
 	w := &world{agents: make(map[string]*fakeAgent), entries: make(map[string]*Server), down: make(map[string]bool)}
+	w.groups = make(map[string]*peers.Group)
 	for _, a := range agents {
 		w.agents[a.name] = a
 	}
@@ -237,6 +243,8 @@
 		res = c.world.agents[c.address].resolve(req)
 	case *inner.LookupIntentRequest:
 		res, err = c.world.entries[c.address].LookupIntent(ctx, req)
+	case *inner.ExchangeRequest:
+		res, err = c.world.exchange(ctx, c.address, req)
 	}
 	if err != nil {
 		return err
@@ -245,6 +253,29 @@
 	return nil
 }
 
+func (w *world) exchange(ctx context.Context, address string, req *inner.ExchangeRequest) (*inner.ExchangeReply, error) {
+	w.mu.Lock()
+	g := w.groups[address]
+	lost := w.lost > 0
+	w.lost--
+	w.mu.Unlock()
+	if g == nil {
+		return nil, errCut
+	}
+	reply, err := g.Exchange(ctx, req)
+	if lost {
+		return nil, errCut
+	}
+	return reply, err
+}
+
+func (w *world) document() chestnutpond.Document {
+	return chestnutpond.Document{
+		Accounts: []chestnutpond.Account{{Name: "ventas", Weight: 1, QueueLimit: 100, JobLimit: 10}},
+		Kinds:    []chestnutpond.Kind{price, order},
+	}
+}
+
 // addEntry runs an entry's request path inside the bubble.
 func (w *world) addEntry(t *testing.T, name string, log *stand.Log) *Server {
 	t.Helper()
@@ -257,10 +288,7 @@
 		Origin: origin, Region: "pampa", Zone: "pampa-a", Seed: 1, Tail: follow, Dialer: w, Members: w,
 		Events: ring, Logger: logger, Metrics: stats.New(),
 	})
-	s.SetDocument(chestnutpond.Document{
-		Accounts: []chestnutpond.Account{{Name: "ventas", Weight: 1, QueueLimit: 100, JobLimit: 10}},
-		Kinds:    []chestnutpond.Kind{price, order},
-	})
+	s.SetDocument(w.document())
 	w.mu.Lock()
 	w.entries[name] = s
 	w.mu.Unlock()
