Merge learned usage of callers and refusals in time

Ruled out: a better estimate of the wait on arrival, which could not tell the requests that were refused late.

Change: an entry in its first minute asks a peer for its habits through Exchange; surplus is refused at a third of its time; one request in 1,000 may be served out of turn just before its deadline.

--- a/internal/core/admit/prop_test.go
+++ b/internal/core/admit/prop_test.go
@@ -6,6 +6,7 @@
 	"math"
 	"os"
 	"slices"
+	"strings"
 	"testing"
 	"time"
 
@@ -236,12 +237,16 @@
 	list := q.Usual(now, 10)
 	assert.Equal(t, len(list), 1)
 	assert.Assert(t, math.Abs(list[0].Rate-0.5) < 0.05, "%v", list)
-	late.Learn(time.Second, append(list, Usual{Account: "?", Kind: "x", Rate: 1}, Usual{Account: "a", Kind: "?", Rate: 1}))
+	bad := []Usual{{Account: "?", Kind: "x", Rate: 1}, {Account: "a", Kind: "?", Rate: 1}, {Account: "a", Kind: "x", Rate: math.NaN()}}
+	assert.Assert(t, !New(Config{}).Learn(time.Second, q.Past(now), list), "learned without a document")
+	late.Offer(0, Item{ID: "0", Account: "a", Caller: "c", Kind: "x"})
+	assert.Assert(t, !late.Learn(time.Second, time.Millisecond, list), "learned from a newer peer")
+	assert.Assert(t, late.Learn(time.Second, q.Past(now), append(list, bad...)))
 	got := late.Usual(time.Second, 10)
 	assert.Equal(t, len(got), 1)
 	assert.Assert(t, math.Abs(got[0].Rate-list[0].Rate) < 0.01, "%v", got)
 	late.Offer(time.Second, Item{ID: "1", Account: "a", Caller: "c", Kind: "x"})
-	late.Learn(time.Second, list)
+	assert.Assert(t, !late.Learn(time.Second, time.Hour, list), "learned twice")
 	assert.Assert(t, math.Abs(late.Usual(time.Second, 10)[0].Rate-list[0].Rate) < 0.01)
 	assert.Equal(t, len(late.Usual(now, 0)), 0)
 }
@@ -303,3 +308,69 @@
 	assert.Equal(t, v.Reason, chestnutpond.ReasonDeadline)
 	assert.Assert(t, v.RetryAfter >= 4*time.Second, "%v", v.RetryAfter)
 }
+
+// Guards against surplus that is admitted behind so much usual work that it reaches
+// its deadline in the queue, and against surplus that is refused because of a kind
+// that waits for upstreams of its own.
+func TestOfferRefusesSurplusBehindUsualWork(t *testing.T) {
+	for name, c := range map[string]struct {
+		waiting  int
+		servable string
+		reason   chestnutpond.Reason
+	}{
+		"much waits":       {15, "xy", chestnutpond.ReasonDeadline},
+		"little waits":     {3, "xy", ""},
+		"much waits apart": {15, "y", ""},
+	} {
+		t.Run(name, func(t *testing.T) {
+			q := newTestQueue(Config{})
+			canServe := func(kind string) bool { return strings.Contains(c.servable, kind) }
+			for i := range c.waiting + 1 {
+				it := Item{ID: fmt.Sprint(i), Account: "a", Caller: fmt.Sprint(i), Kind: "x", Deadline: time.Minute}
+				assert.Assert(t, q.Offer(0, it).Admitted)
+			}
+			// The caller's one free request of the kind goes first.
+			for _, id := range []string{"free", "n"} {
+				v := q.Offer(0, Item{ID: id, Account: "b", Caller: "c", Kind: "y", Deadline: 10 * time.Second})
+				want := c.reason
+				if id == "free" {
+					want = ""
+				}
+				assert.Equal(t, v.Reason, want)
+				_, ok := q.Next(0, canServe)
+				assert.Assert(t, ok)
+			}
+		})
+	}
+}
+
+// Guards against a request that reaches its deadline in the queue although a slot
+// became free just before, and against more of them out of turn than the bound.
+func TestNextServesBeforeDeadline(t *testing.T) {
+	for name, c := range map[string]struct {
+		share    float64
+		at       time.Duration
+		servable string
+		want     string
+	}{
+		"near":            {1, 9300 * time.Millisecond, "xy", "n"},
+		"not near":        {1, 9000 * time.Millisecond, "xy", "1"},
+		"near, bound":     {0.1, 9300 * time.Millisecond, "xy", "1"},
+		"near, no target": {1, 9300 * time.Millisecond, "x", "1"},
+		"near, of many":   {1, 9300 * time.Millisecond, "xyz", "1"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			q := newTestQueue(Config{DeadlineShare: c.share})
+			for i := range 5 {
+				q.Offer(0, Item{ID: fmt.Sprint(i), Account: "a", Caller: fmt.Sprint(i), Kind: "x", Class: chestnutpond.ClassUrgent})
+			}
+			q.Offer(0, Item{ID: "n", Account: "b", Caller: "c", Kind: "y", Class: chestnutpond.ClassBulk, Deadline: 10 * time.Second})
+			if c.servable == "xyz" {
+				q.Offer(0, Item{ID: "m", Account: "b", Caller: "c", Kind: "z"})
+			}
+			_, _ = q.Next(0, anyKind)
+			it, _ := q.Next(c.at, func(kind string) bool { return strings.Contains(c.servable, kind) })
+			assert.Equal(t, it.ID, c.want)
+		})
+	}
+}
--- a/internal/core/admit/queue.go
+++ b/internal/core/admit/queue.go
@@ -40,7 +40,11 @@
 	// items holds every request between Offer and its end, by ID.
 	items map[string]*waiter
 	// n counts the requests waiting, without the expired ones.
-	n        int
+	n int
+	// running counts the requests between Next and Done or PutBack.
+	running int
+	// ahead is how many requests near their deadlines may be served out of turn.
+	ahead    float64
 	accounts map[string]*account
 	lanes    []*lane
 	kinds    map[string]bool
@@ -58,6 +62,11 @@
 	// start is when the first request came, once it has.
 	start   time.Duration
 	started bool
+	// knownSince is from when on usual service is known; that is before start if
+	// it was learned.
+	knownSince time.Duration
+	// learned is set once Learn took a list over.
+	learned bool
 	// known counts the callers in memory; idle lists those without requests,
 	// oldest first.
 	known               int
@@ -108,7 +117,7 @@
 		return q.refuse(chestnutpond.ReasonInProgress, 0)
 	}
 	if !q.started {
-		q.started, q.start = true, now
+		q.started, q.start, q.knownSince = true, now, now
 	}
 	c := a.callers[it.Caller]
 	if c == nil {
@@ -130,8 +139,12 @@
 	s := a.share(l)
 	w := &waiter{item: it, giveUp: q.giveUp(now, it, l), deadlineAt: -1}
 	wait := q.wait(now, s, c)
+	patience := q.cfg.Patience
+	if l.surplus {
+		patience = q.cfg.SurplusPatience
+	}
 	victims, reason := q.room(a, l, c)
-	if w.giveUp >= 0 && (w.giveUp <= now || wait >= time.Duration(q.cfg.Patience*float64(w.giveUp-now))) {
+	if w.giveUp >= 0 && (w.giveUp <= now || wait >= time.Duration(patience*float64(w.giveUp-now))) {
 		reason = chestnutpond.ReasonDeadline
 	}
 	if reason != "" {
