Small jobs are moved together when that frees a whole shape

The placement is a best fit already; the pieces come from jobs that end.

Change: a small job within its guarantee starts on the fullest worker that has room, also while its cell is begun, and every 15 s at most a running borrower with 10 s to 3 min of work since its start is preempted and started elsewhere if that frees one more of the largest guaranteed shape. Urgent and guaranteed jobs stay, at most 4 accelerators of a worker move, no job moves twice in 10 min. The scheduler's event of such a preemption names no job that it is for.

The property test's check of a preemption knows moves now and wants their own bounds of them; a second property test has loads that move often.

--- a/internal/core/place/claim.go
+++ b/internal/core/place/claim.go
@@ -1,6 +1,10 @@
 package place
 
-import "sort"
+import (
+	"sort"
+
+	"github.com/chestnutpond/chestnutpond"
+)
 
 // plan is a way to run a job on a cell.
 type plan struct {
@@ -129,22 +133,27 @@
 	return best, p, best != nil
 }
 
-// float starts a job that is within the guarantee outside its cell, where a
-// worker is partly used already and the cell is not. It leaves the cell whole for
-// a larger job, and needs no protection: once preempted, it claims its cell.
+// float starts a job that is within the guarantee outside its cell, on the
+// fullest of the partly used workers that have room. It leaves emptier workers
+// whole for larger jobs, and needs no protection: once preempted, it claims its
+// cell. It stays on a cell that is begun on a worker as full as that one.
 func (c *Core) float(j *job) bool {
 	if !c.cfg.has(FeatureFloat) || j.account.used+j.size() > j.account.guaranteed {
 		return false
 	}
+	picks, ok := c.fleet.findWorker(query{shape: j.spec.Shape, view: viewLend, avoid: j.avoid})
+	if !ok || picks[0].w.isWhole() {
+		return false
+	}
 	for _, l := range j.account.cells {
-		if l.used > 0 && l.shape.Accelerators-l.used >= j.size() {
-			return false
+		if l.used == 0 || l.shape.Accelerators-l.used < j.size() {
+			continue
+		}
+		for _, p := range l.parts {
+			if n := p.w.count[viewLend]; n >= j.size() && n <= picks[0].w.count[viewLend] {
+				return false
+			}
 		}
-	}
-	q := query{shape: j.spec.Shape, view: viewOpen, avoid: j.avoid}
-	picks, ok := c.fleet.findWorker(q)
-	if !ok || picks[0].w.count[viewLend] == picks[0].w.size() {
-		return false
 	}
 	c.startBorrower(j, picks)
 	return true
@@ -186,7 +195,7 @@
 	l.used += j.size()
 	c.claim(j, p.holds)
 	for _, v := range p.victims {
-		c.preempt(v, j, "the owner of the cell claims it")
+		c.preempt(v, j.spec.ID, "the owner of the cell claims it")
 	}
 	if len(p.victims) > 0 {
 		c.noteReclaim(l)
@@ -202,7 +211,7 @@
 	c.startClaimed(j)
 }
 
-func (c *Core) preempt(v, by *job, reason string) {
+func (c *Core) preempt(v *job, by chestnutpond.JobID, reason string) {
 	if v.state == stateStopping {
 		return
 	}
@@ -212,6 +221,6 @@
 	}
 	c.actions = append(c.actions, Action{
 		Kind: ActionPreempt, Job: v.spec.ID, Attempt: v.attempt, Placements: v.placements(v.held),
-		Reason: reason, For: by.spec.ID,
+		Reason: reason, For: by,
 	})
 }
--- a/internal/core/place/config.go
+++ b/internal/core/place/config.go
@@ -49,6 +49,17 @@
 	// Without switches off parts of the policy. The measurement table keeps
 	// earlier versions this way.
 	Without Feature
+	// ConsolidateEvery is the least time between two consolidations, each of
+	// which frees one guaranteed shape.
+	ConsolidateEvery time.Duration
+	// ConsolidateLimit is the largest number of held accelerators of a worker
+	// that a consolidation empties.
+	ConsolidateLimit int
+	// ConsolidateMaxRun bounds the work that a moved job can lose if its
+	// checkpoint is not written: a job that ran longer stays.
+	ConsolidateMaxRun time.Duration
+	// ConsolidateAgain is the least time between two moves of the same job.
+	ConsolidateAgain time.Duration
 	// ReservationLimit is the number of jobs that hold a reservation at a time.
 	ReservationLimit int
 }
@@ -72,12 +83,15 @@
 	// FeatureDisplace lets the jobs of an account take its cells back from its
 	// own backlogged callers.
 	FeatureDisplace
+	// FeatureConsolidate moves small jobs together when that frees a whole
+	// guaranteed shape.
+	FeatureConsolidate
 )
 
 // FeaturesAll is every part; without them all, the policy is close to its first
 // version. Shares by level and the later rules of health are always on.
 const FeaturesAll = FeatureSharedFit | FeatureBacklog | FeaturePreempt | FeaturePatience |
-	FeatureFloat | FeatureDisplace
+	FeatureFloat | FeatureDisplace | FeatureConsolidate
 
 func (c Config) has(f Feature) bool { return c.Without&f == 0 }
 
@@ -101,6 +115,10 @@
 	setTime(&c.PreemptMinRun, time.Minute)
 	setTime(&c.ReservationAfter, 30*time.Minute)
 	setTime(&c.ReservationPatience, 2*time.Minute)
+	setTime(&c.ConsolidateEvery, 15*time.Second)
+	setInt(&c.ConsolidateLimit, 4)
+	setTime(&c.ConsolidateMaxRun, 3*time.Minute)
+	setTime(&c.ConsolidateAgain, 10*time.Minute)
 	setInt(&c.ReservationLimit, 1)
 	return c
 }
--- a/internal/core/place/core.go
+++ b/internal/core/place/core.go
@@ -41,6 +41,11 @@
 	// probation holds the started jobs that may become successes, in order.
 	probation []probe
 
+	// moves are the jobs that are stopped to run elsewhere, until they start.
+	moves []move
+	// consolidateAt is when jobs may be moved next.
+	consolidateAt time.Duration
+
 	seq     int64
 	actions []Action
 	// searches counts the searches for victims in the current decision.
--- a/internal/core/place/core_test.go
+++ b/internal/core/place/core_test.go
@@ -184,3 +184,53 @@
 		assert.Equal(t, actions[0].Kind, place.ActionGiveUp)
 	})
 }
+
+// Guards against moves that free no whole shape, that could lose much work, and
+// that stop the same job again and again.
+func TestConsolidation(t *testing.T) {
+	one := shape(1, chestnutpond.AdjacencyWorker)
+	for name, tc := range map[string]struct {
+		after time.Duration
+		// left is the number of jobs on the first worker.
+		left  int
+		moves bool
+	}{
+		"a worker is emptied":                      {30 * time.Second, 7, true},
+		"no other worker has room":                 {30 * time.Second, 8, false},
+		"the job has much work since its start":    {4 * time.Minute, 7, false},
+		"the job has hardly begun":                 {5 * time.Second, 7, false},
+		"an idle fleet is left with one in pieces": {30 * time.Second, 0, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			c := region(2, document("a"))
+			for i := range 9 {
+				c.Submit(0, spec(fmt.Sprint("s", i), "b", chestnutpond.ClassStandard, one), 0)
+			}
+			for id := range starts(c.Decide(0)) {
+				c.Running(0, id, 1)
+			}
+			for i := range 8 - tc.left {
+				c.Remove(tc.after, chestnutpond.JobID(fmt.Sprint("s", i)))
+			}
+			actions := c.Decide(tc.after)
+			if !tc.moves {
+				assert.Equal(t, len(actions), 0)
+				return
+			}
+			assert.Equal(t, len(actions), 1)
+			a := actions[0]
+			assert.Equal(t, a.Kind, place.ActionPreempt)
+			assert.Equal(t, a.Job, chestnutpond.JobID("s8"))
+			c.Stopped(tc.after+time.Second, a.Job, a.Attempt)
+			again := starts(c.Decide(tc.after + time.Second))[a.Job]
+			assert.Assert(t, again.Placements[0].Worker != a.Placements[0].Worker)
+			c.Running(tc.after+time.Second, again.Job, again.Attempt)
+			for i := range 7 {
+				c.Remove(tc.after+2*time.Second, chestnutpond.JobID(fmt.Sprint("s", i+1)))
+			}
+			c.Submit(tc.after+2*time.Second, spec("t", "b", chestnutpond.ClassStandard, shape(7, chestnutpond.AdjacencyWorker)), 0)
+			c.Decide(tc.after + 2*time.Second)
+			assert.Equal(t, len(c.Decide(tc.after+time.Minute)), 0)
+		})
+	}
+}
--- a/internal/core/place/decide.go
+++ b/internal/core/place/decide.go
@@ -30,7 +30,8 @@
 	// Guaranteed says that the job runs on a cell of its account.
 	Guaranteed bool
 	Reason     string
-	// For is the job that a preemption makes room for.
+	// For is the job that a preemption makes room for; empty if the job is only
+	// moved to other accelerators.
 	For chestnutpond.JobID
 }
 
@@ -41,6 +42,7 @@
 	c.searches = 0
 	c.refresh()
 	c.startClaims()
+	c.finishMoves()
 	c.ageReservations()
 	// Starting borrowers can end a caller's backlog, and then its jobs may claim
 	// more. Each turn takes a job out of the queue.
@@ -48,6 +50,7 @@
 		c.claimGuarantees()
 		c.startBorrowers()
 	}
+	c.consolidate()
 	actions := c.actions
 	c.actions = nil
 	return actions
@@ -80,6 +83,9 @@
 	if c.delayed.Len() > 0 {
 		add(c.delayed.Top().notBefore)
 	}
+	if c.consolidates() {
+		add(c.consolidateAt)
+	}
 	for _, l := range c.closed {
 		add(l.closedUntil)
 	}
--- a/internal/core/place/doc.go
+++ b/internal/core/place/doc.go
@@ -21,6 +21,10 @@
 // Only accelerators outside the reservation are backfilled, because declared run
 // times are unreliable.
 //
+// Small borrowers that ran a short time are moved together when that frees one
+// more of the largest guaranteed shape: they are preempted, and start on a worker
+// that is partly used as soon as they have stopped.
+//
 // Waiting jobs are grouped into lanes by class and shape. A decision compares
 // the head of each lane and looks at one summary for each rack, so it neither
 // scans the queue nor all workers.
--- a/internal/core/place/job.go
+++ b/internal/core/place/job.go
@@ -62,6 +62,9 @@
 	level int
 	// enqueued is when the job began to wait.
 	enqueued time.Duration
+	// moved is when the job was last stopped to run elsewhere, if it ever was.
+	moved    time.Duration
+	wasMoved bool
 	// preemptions counts how often another borrower preempted the job.
 	preemptions int
 	// reserved is when the job got a reservation, while it has one.
--- a/internal/core/place/preempt.go
+++ b/internal/core/place/preempt.go
@@ -73,7 +73,7 @@
 	c.claim(j, best.holds)
 	for _, v := range best.victims {
 		v.preemptions++
-		c.preempt(v, j, "more urgent work needs the accelerators")
+		c.preempt(v, j.spec.ID, "more urgent work needs the accelerators")
 	}
 	j.reason = "waiting for preempted work to stop"
 	return true
@@ -180,7 +180,7 @@
 				v := h.w.slots[i].job
 				if v != nil && !v.guaranteed && v.level > 0 && c.mayStop(v) {
 					v.preemptions++
-					c.preempt(v, j, "the reservation of a large gang has waited long")
+					c.preempt(v, j.spec.ID, "the reservation of a large gang has waited long")
 				}
 			}
 		}
--- a/internal/core/place/property_test.go
+++ b/internal/core/place/property_test.go
@@ -30,6 +30,10 @@
 	live map[chestnutpond.JobID]Action
 	// given lists the jobs that the core gave up.
 	given []chestnutpond.JobID
+	// moved is when a job was last stopped to run elsewhere.
+	moved map[chestnutpond.JobID]time.Duration
+	// small makes all jobs small and lets them run at once.
+	small bool
 	ids   []chestnutpond.JobID
 }
 
@@ -83,10 +87,15 @@
 	w.next++
 	id := chestnutpond.JobID(fmt.Sprint("j", w.next))
 	w.ids = append(w.ids, id)
+	shape, class := w.shape(), classes[w.draw(3, "class")]
+	if w.small {
+		class = chestnutpond.ClassStandard
+		shape = chestnutpond.Shape{Accelerators: 1 + w.draw(2, "small"), Adjacency: chestnutpond.AdjacencyWorker}
+	}
 	w.c.Submit(w.now, chestnutpond.JobSpec{
 		ID: id, Account: fmt.Sprint("a", w.draw(4, "account")), Caller: fmt.Sprint("c", w.draw(3, "caller")),
-		Kind: fmt.Sprint("k", w.draw(3, "kind")), Class: classes[w.draw(3, "class")], Region: "r",
-		Shape: w.shape(), MaxAttempts: 1 + w.draw(3, "attempts"),
+		Kind: fmt.Sprint("k", w.draw(3, "kind")), Class: class, Region: "r",
+		Shape: shape, MaxAttempts: 1 + w.draw(3, "attempts"),
 	}, 0)
 }
 
@@ -110,6 +119,14 @@
 }
 
 func (w *world) step() {
+	for _, id := range w.ids {
+		if a, ok := w.live[id]; ok && w.small {
+			w.c.Running(w.now, id, a.Attempt)
+		}
+	}
+	if w.small && w.draw(3, "leaves") == 0 {
+		w.remove()
+	}
 	switch e := w.draw(17, "event"); {
 	case e < 5:
 		w.submit()
@@ -230,6 +247,10 @@
 // it: a guaranteed one, a more urgent one, or a gang whose reservation is old. A
 // guaranteed victim yields to a guaranteed job of its own account only.
 func (w *world) checkPreempt(a Action, guaranteed bool) {
+	if a.For == "" {
+		w.checkMove(a, guaranteed)
+		return
+	}
 	j, by := w.c.jobs[a.Job], w.c.jobs[a.For]
 	if _, ok := w.live[a.Job]; !ok || j.guaranteed || by.state != stateClaiming {
 		w.t.Fatalf("preemption of %s, guaranteed %v, for %s in state %d", a.Job, j.guaranteed, a.For, by.state)
@@ -350,16 +371,23 @@
 // overlapping cells, preempted guaranteed jobs, split gangs, guarantees left
 // unserved and too many ejections.
 func TestInvariants(t *testing.T) {
-	rapid.Check(t, func(t *rapid.T) {
-		w := &world{t: t, c: New(Config{Region: "r"}), live: map[chestnutpond.JobID]Action{}}
-		for range 6 {
-			w.putWorker()
-		}
-		w.document()
-		for range rapid.IntRange(20, 250).Draw(t, "steps") {
-			w.step()
-			w.decide()
-			w.check()
-		}
-	})
+	rapid.Check(t, func(t *rapid.T) { explore(t, Config{Region: "r"}, false) })
+}
+
+func explore(t *rapid.T, cfg Config, small bool) {
+	w := &world{
+		t: t, c: New(cfg), live: map[chestnutpond.JobID]Action{}, moved: map[chestnutpond.JobID]time.Duration{}, small: small,
+	}
+	for range 6 {
+		w.putWorker()
+	}
+	w.document()
+	for w.small && len(w.ids) < 16 {
+		w.submit()
+	}
+	for range rapid.IntRange(20, 250).Draw(t, "steps") {
+		w.step()
+		w.decide()
+		w.check()
+	}
 }
--- a/internal/node/sched/region.go
+++ b/internal/node/sched/region.go
@@ -206,11 +206,15 @@
 	}
 	r.meters.preemptions.Inc(1)
 	r.noteClaim(action.For)
+	detail := action.Reason
+	if action.For != "" {
+		detail += " for " + string(action.For)
+	}
 	// The event comes first, because the attempt names it as the cause of its
 	// stop as soon as it is woken.
 	r.m.cfg.Events.Add(chestnutpond.Event{
 		Kind: chestnutpond.EventReclaimed, Job: a.spec.ID, Attempt: a.number, Account: a.spec.Account,
-		Detail: action.Reason + " for " + string(action.For), Cause: r.m.cfg.Events.Last(action.For),
+		Detail: detail, Cause: r.m.cfg.Events.Last(action.For),
 	})
 	a.preempted = action.Reason
 	a.notice()
