Consolidation looks for places of at most eight sets

Cause: each look for places goes over all workers, and every set that was cheaper than the best so far was tried. With thousands of workers that can be emptied and no room for their jobs, one decision would take the square of their number.

Change: the sets are tried by cost, the cheapest first, eight at most.

--- a/internal/core/place/consolidate.go
+++ b/internal/core/place/consolidate.go
@@ -1,7 +1,6 @@
 package place
 
 import (
-	"math"
 	"sort"
 
 	"github.com/chestnutpond/chestnutpond"
@@ -39,25 +38,30 @@
 	if len(c.moves) > 0 {
 		return
 	}
-	var best []move
-	least := int64(math.MaxInt64)
-	for _, set := range c.emptySets(c.cells[0].shape) {
-		cost := int64(0)
-		for _, e := range set {
-			cost += e.cost
-		}
-		if cost >= least {
-			continue
-		}
+	sets := c.emptySets(c.cells[0].shape)
+	sort.SliceStable(sets, func(i, j int) bool { return cost(sets[i]) < cost(sets[j]) })
+	for _, set := range sets[:min(len(sets), consolidateTries)] {
 		if moves, ok := c.movesFrom(set); ok {
-			best, least = moves, cost
+			c.moves = moves
+			break
 		}
 	}
-	for _, m := range best {
+	for _, m := range c.moves {
 		m.job.moved, m.job.wasMoved = c.now, true
 		c.preempt(m.job, "", "moved to free a whole guaranteed shape")
 	}
-	c.moves = best
+}
+
+// consolidateTries bounds the sets of workers for which places are looked for in
+// one decision, because each look goes over all workers.
+const consolidateTries = 8
+
+func cost(set []emptying) int64 {
+	n := int64(0)
+	for _, e := range set {
+		n += e.cost
+	}
+	return n
 }
 
 // emptySets returns sets of workers; emptying all of a set frees one more of the
