Setting inner_advertise, and proxies between all processes of the proofs

Cause: a process announced the address that it listens on, so the proofs could put proxies between entries and the log service only; no inner link could be cut, slowed or made silent with real processes.

Ruled out: a seed address for each region. An entry names all others by the one address that each announces (Exchange, AnnounceReply), and a member row holds one address, so after the first answer every process dials past such a proxy. A proxy before each process cuts it from everybody and can't separate pairs.

Change: entries and agents take inner_advertise, checked like entries and held to loopback without tls. In the proofs a front stands at the advertised address of each process; it finds the dialing process by the socket's inode under /proc and passes the connection through a toxiproxy link of that pair, so any pair can be cut, one way too, slowed or made silent, and connections that stand can be silenced for good while new ones work. What it cannot show: a cut closes connections at once and a connect succeeds first (packet loss is shown as silence); the paths to workers, upstreams and callers have no proxy.

TestFabric fails if a fault does nothing or strikes another pair.

--- a/internal/conf/config/agent.go
+++ b/internal/conf/config/agent.go
@@ -28,6 +28,9 @@
 	Rack   string
 	// InnerListen is the address of the gRPC server, as others reach it.
 	InnerListen string
+	// InnerAdvertise is the inner address that others are told; empty means
+	// InnerListen as it was bound.
+	InnerAdvertise string
 	// StatusListen is the address of the HTTP server for health and metrics.
 	StatusListen string
 	// Entries are inner addresses of entries, at least one.
@@ -86,11 +89,12 @@
 	p := readPlace(m)
 	a := Agent{
 		Name: p.name, Region: p.region, Zone: p.zone, LogLevel: p.level,
-		Rack:         m.Text("rack", fields.Name),
-		InnerListen:  m.Text("inner_listen", innerListenSyntax),
-		StatusListen: m.TextOr("status_listen", DefaultStatus, listenSyntax),
-		Entries:      m.Texts("entries", fields.Range{Min: 1, Max: MaxEntries}, dialSyntax),
-		Accelerators: int(m.Int("accelerators", fields.Range{Max: MaxAccelerators})),
+		Rack:           m.Text("rack", fields.Name),
+		InnerListen:    m.Text("inner_listen", innerListenSyntax),
+		InnerAdvertise: m.TextOr("inner_advertise", "", dialSyntax),
+		StatusListen:   m.TextOr("status_listen", DefaultStatus, listenSyntax),
+		Entries:        m.Texts("entries", fields.Range{Min: 1, Max: MaxEntries}, dialSyntax),
+		Accelerators:   int(m.Int("accelerators", fields.Range{Max: MaxAccelerators})),
 	}
 	if w, ok := m.Map("worker"); ok {
 		a.Worker = w.Text("address", baseSyntax)
@@ -105,7 +109,7 @@
 		}
 		u.Done()
 	}
-	a.TLS = readTLS(m, a.InnerListen, a.Entries)
+	a.TLS = readTLS(m, a.InnerListen, a.InnerAdvertise, a.Entries)
 	m.Done()
 	if err := m.Err(); err != nil {
 		return Agent{}, nil, err
--- a/internal/conf/config/config_test.go
+++ b/internal/conf/config/config_test.go
@@ -57,7 +57,11 @@
 		Upstream:     Upstream{Address: "https://127.0.0.1:9200", Slots: 4, Connections: 32, Kinds: []string{"price_list"}},
 		Accelerators: 8, LogLevel: slog.LevelInfo,
 	})
-	text := strings.NewReplacer(", slots: 4, connections: 32, kinds: [price_list]", "", "status_listen: 0.0.0.0:8180\n", "").Replace(validAgent)
+	text := strings.Replace(validAgent, "inner_listen", "inner_advertise: 127.0.0.1:7199\ninner_listen", 1)
+	got, err = ParseAgent("a.yaml", []byte(text))
+	assert.NilError(t, err)
+	assert.Equal(t, got.InnerAdvertise, "127.0.0.1:7199")
+	text = strings.NewReplacer(", slots: 4, connections: 32, kinds: [price_list]", "", "status_listen: 0.0.0.0:8180\n", "").Replace(validAgent)
 	got, err = ParseAgent("a.yaml", []byte(text))
 	assert.NilError(t, err)
 	assert.DeepEqual(t, got.Upstream, Upstream{Address: "https://127.0.0.1:9200", Slots: DefaultSlots, Connections: DefaultConnections})
@@ -82,6 +86,9 @@
 		"port":                 {"0.0.0.0:8080", "0.0.0.0:70000", `4:9: listen is "0.0.0.0:70000"; allowed: ` + listenAllowed},
 		"inner is unspecified": {"inner_listen: 127.0.0.1", "inner_listen: 0.0.0.0", `5:15: inner_listen is "0.0.0.0:7070"; allowed: ` + innerAllowed},
 		"inner without tls":    {"inner_listen: 127.0.0.1", "inner_listen: 10.0.0.1", `5:15: inner_listen is "10.0.0.1:7070" and there is no tls; allowed: ` + plainAllowed},
+		"advertised port":      {"log_level: warn", "inner_advertise: 127.0.0.1:0", `10:18: inner_advertise is "127.0.0.1:0"; allowed: ` + dialAllowed},
+		"advertised host":      {"log_level: warn", "inner_advertise: 0.0.0.0:7070", `10:18: inner_advertise is "0.0.0.0:7070"; allowed: ` + dialAllowed},
+		"advertised, no tls":   {"log_level: warn", "inner_advertise: 10.0.0.1:7070", `10:18: inner_advertise is "10.0.0.1:7070" and there is no tls; allowed: ` + plainAllowed},
 		"entries without tls":  {`"127.0.0.1:7071"`, `"10.0.0.2:7071"`, `6:10: entries has "10.0.0.2:7071" and there is no tls; allowed: ` + plainAllowed},
 		"entries port":         {`"127.0.0.1:7071"`, `"127.0.0.1:0"`, `6:29: entries[1] is "127.0.0.1:0"; allowed: ` + dialAllowed},
 		"entries twice":        {`"127.0.0.1:7071"`, `"127.0.0.1:7070"`, `6:29: entries[1] repeats "127.0.0.1:7070"; allowed: distinct values`},
@@ -95,7 +102,7 @@
 		"operator twice":       {"operators:\n", "operators:\n  - {name: lucia, token_sha256: " + strings.Repeat("2", 64) + "}\n", "10:12: operators[1].name is used twice; allowed: distinct values"},
 		"token twice":          {"operators:\n", "operators:\n  - {name: raj, token_sha256: " + digest1 + "}\n", "10:33: operators[1].token_sha256 is used twice; allowed: distinct values"},
 		"log level":            {"log_level: warn", "log_level: loud", `10:12: log_level is "loud"; allowed: debug, info, warn, error`},
-		"key of an agent":      {"log_level: warn", "rack: r", `10:1: unknown key "rack"; allowed: name, region, zone, log_level, listen, inner_listen, entries, operators, log, tls`},
+		"key of an agent":      {"log_level: warn", "rack: r", `10:1: unknown key "rack"; allowed: name, region, zone, log_level, listen, inner_listen, inner_advertise, entries, operators, log, tls`},
 		"tls is a text":        {"log_level: warn", "tls: none", "10:6: tls is a text; allowed: a mapping"},
 		"tls without a ca":     {"log_level: warn", "tls: {cert_file: a, key_file: b}", "10:6: tls.ca_file is missing; allowed: the name of a PEM file"},
 	}
@@ -122,7 +129,7 @@
 		"kind":            {"[price_list]", "[Price]", `9:82: upstream.kinds[0] is "Price"; allowed: ` + nameAllowed},
 		"accelerators":    {"accelerators: 8", "accelerators: 65", "10:15: accelerators is 65; allowed: 0 to 64"},
 		"no accelerators": {"accelerators: 8\n", "", "1:1: accelerators is missing; allowed: 0 to 64"},
-		"key of an entry": {"accelerators: 8", "accelerators: 8\nlisten: x", `11:1: unknown key "listen"; allowed: name, region, zone, log_level, rack, inner_listen, status_listen, entries, accelerators, worker, upstream, tls`},
+		"key of an entry": {"accelerators: 8", "accelerators: 8\nlisten: x", `11:1: unknown key "listen"; allowed: name, region, zone, log_level, rack, inner_listen, inner_advertise, status_listen, entries, accelerators, worker, upstream, tls`},
 	}
 	for name, tt := range tests {
 		t.Run(name, func(t *testing.T) {
--- a/internal/conf/config/entry.go
+++ b/internal/conf/config/entry.go
@@ -19,6 +19,9 @@
 	Listen string
 	// InnerListen is the address of the gRPC server, as others reach it.
 	InnerListen string
+	// InnerAdvertise is the inner address that others are told; empty means
+	// InnerListen as it was bound.
+	InnerAdvertise string
 	// Entries are inner addresses of entries; it may hold the own one.
 	Entries   []string
 	Log       Log
@@ -75,16 +78,17 @@
 	p := readPlace(m)
 	e := Entry{
 		Name: p.name, Region: p.region, Zone: p.zone, LogLevel: p.level,
-		Listen:      m.Text("listen", listenSyntax),
-		InnerListen: m.Text("inner_listen", innerListenSyntax),
-		Entries:     m.Texts("entries", fields.Range{Max: MaxEntries}, dialSyntax),
-		Operators:   operators(m),
+		Listen:         m.Text("listen", listenSyntax),
+		InnerListen:    m.Text("inner_listen", innerListenSyntax),
+		InnerAdvertise: m.TextOr("inner_advertise", "", dialSyntax),
+		Entries:        m.Texts("entries", fields.Range{Max: MaxEntries}, dialSyntax),
+		Operators:      operators(m),
 	}
 	if l, ok := m.Map("log"); ok {
 		e.Log = Log{Address: l.Text("address", baseSyntax), Stream: l.Text("stream", fields.Name)}
 		l.Done()
 	}
-	e.TLS = readTLS(m, e.InnerListen, e.Entries)
+	e.TLS = readTLS(m, e.InnerListen, e.InnerAdvertise, e.Entries)
 	m.Done()
 	if err := m.Err(); err != nil {
 		return Entry{}, nil, err
--- a/internal/conf/config/tls.go
+++ b/internal/conf/config/tls.go
@@ -32,7 +32,7 @@
 
 // readTLS reads the names of the TLS files. Without TLS anyone who reaches the
 // inner address could start work, so all inner addresses must then be loopback.
-func readTLS(m *fields.Map, inner string, entries []string) TLS {
+func readTLS(m *fields.Map, inner, advertise string, entries []string) TLS {
 	s, ok := m.MapOr("tls")
 	if ok {
 		t := TLS{CertFile: s.Text("cert_file", pathSyntax), KeyFile: s.Text("key_file", pathSyntax), CAFile: s.Text("ca_file", pathSyntax)}
@@ -46,6 +46,9 @@
 	if inner != "" && !loopback(inner) {
 		m.Report("inner_listen", fmt.Sprintf("is %q and there is no tls", inner), allowed)
 	}
+	if advertise != "" && !loopback(advertise) {
+		m.Report("inner_advertise", fmt.Sprintf("is %q and there is no tls", advertise), allowed)
+	}
 	for _, e := range entries {
 		if !loopback(e) {
 			m.Report("entries", fmt.Sprintf("has %q and there is no tls", e), allowed)
--- a/internal/test/proof/fleet_test.go
+++ b/internal/test/proof/fleet_test.go
@@ -7,6 +7,7 @@
 	"os"
 	"path/filepath"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -41,10 +42,14 @@
 	settings string
 	// http serves callers at an entry and the status at an agent.
 	http string
-	// inner is the address that other processes dial. No proxy can stand before
-	// it, because a process announces the address on which it listens.
-	inner   string
-	process *process
+	// inner is the address of the inner protocol, advertise the one before it
+	// that the other processes are told.
+	inner     string
+	advertise string
+	place     place
+	process   *process
+	// pid is the number of the process, which fronts read while tests restart it.
+	pid atomic.Int64
 }
 
 // fleet is a whole deployment on loopback.
@@ -52,6 +57,7 @@
 	platform *standins
 	entries  [entryCount]*node
 	agents   [agentCount]*node
+	fabric   *fabric
 	// toLog is the path of each entry to the log service.
 	toLog [entryCount]*link
 }
@@ -70,12 +76,13 @@
 	f := &fleet{platform: startStandins(t, agentCount)}
 	dir := t.TempDir()
 	for i, where := range places {
-		f.entries[i] = newNode(t, "entry", "entry-"+where.zone, dir)
+		f.entries[i] = newNode(t, "entry", "entry-"+where.zone, dir, where)
 		f.toLog[i] = newLink(t, "log of "+where.zone, f.platform.log)
 	}
 	for i := range f.agents {
-		f.agents[i] = newNode(t, "agent", fmt.Sprintf("worker-%d", i), dir)
+		f.agents[i] = newNode(t, "agent", fmt.Sprintf("worker-%d", i), dir, places[i/rackSize])
 	}
+	f.fabric = newFabric(t, f.nodes())
 	for i, e := range f.entries {
 		writeFile(t, e.settings, f.entrySettings(i))
 	}
@@ -90,11 +97,11 @@
 	return f
 }
 
-func newNode(t *testing.T, command, name, dir string) *node {
+func newNode(t *testing.T, command, name, dir string, where place) *node {
 	t.Helper()
 	return &node{
 		name: name, command: command, settings: filepath.Join(dir, name+".yaml"),
-		http: addresses.free(t), inner: addresses.free(t),
+		http: addresses.free(t), inner: addresses.free(t), place: where,
 	}
 }
 
@@ -105,36 +112,38 @@
 zone: %s
 listen: %s
 inner_listen: %s
+inner_advertise: %s
 entries: [%s]
 log: {address: "http://%s", stream: %s}
 operators:
   - {name: op, token_sha256: %s}
 log_level: info
-`, e.name, places[i].region, places[i].zone, e.http, e.inner, f.entryList(), f.toLog[i].address(), logStream,
+`, e.name, e.place.region, e.place.zone, e.http, e.inner, e.advertise, f.entryList(), f.toLog[i].address(), logStream,
 		digest(operatorToken))
 }
 
 func (f *fleet) agentSettings(i int) string {
-	a, where := f.agents[i], places[i/rackSize]
+	a, where := f.agents[i], f.agents[i].place
 	return fmt.Sprintf(`name: %s
 region: %s
 zone: %s
 rack: rack_%s
 inner_listen: %s
+inner_advertise: %s
 status_listen: %s
 entries: [%s]
 worker: {address: "http://%s"}
 upstream: {address: "http://%s", slots: %d, connections: 64, kinds: [price_list, reorder]}
 accelerators: 8
 log_level: info
-`, a.name, where.region, where.zone, where.zone, a.inner, a.http, f.entryList(),
+`, a.name, where.region, where.zone, where.zone, a.inner, a.advertise, a.http, f.entryList(),
 		f.platform.workers[i], f.platform.upstreams[i], slotCount)
 }
 
 func (f *fleet) entryList() string {
 	var list []string
 	for _, e := range f.entries {
-		list = append(list, e.inner)
+		list = append(list, e.advertise)
 	}
 	return strings.Join(list, ", ")
 }
@@ -146,6 +155,7 @@
 func (n *node) start(t *testing.T) {
 	t.Helper()
 	n.process = start(t, n.name, "chestnutpond", n.command, "--settings", n.settings)
+	n.pid.Store(int64(n.process.cmd.Process.Pid))
 }
 
 // waitReady waits until every process is ready and has the version in force.
--- a/internal/tool/launch/launch.go
+++ b/internal/tool/launch/launch.go
@@ -107,8 +107,8 @@
 	}
 	e, err := entry.New(entry.Config{
 		Name: settings.Name, Region: settings.Region, Zone: settings.Zone, Incarnation: p.incarnation,
-		Listen: settings.Listen, InnerListen: settings.InnerListen, Entries: settings.Entries,
-		Log: log, Operators: operators, ParseDocument: svcdoc.Parse,
+		Listen: settings.Listen, InnerListen: settings.InnerListen, Advertise: settings.InnerAdvertise,
+		Entries: settings.Entries, Log: log, Operators: operators, ParseDocument: svcdoc.Parse,
 		Events: p.events, Metrics: p.metrics, Logs: p.logs,
 		ServerTLS: settings.TLS.Server, ClientTLS: settings.TLS.Client,
 	})
@@ -133,7 +133,8 @@
 	})
 	a, err := agent.New(agent.Config{
 		Name: settings.Name, Region: settings.Region, Zone: settings.Zone, Rack: settings.Rack,
-		Incarnation: p.incarnation, InnerListen: settings.InnerListen, Entries: settings.Entries,
+		Incarnation: p.incarnation, InnerListen: settings.InnerListen, Advertise: settings.InnerAdvertise,
+		Entries:      settings.Entries,
 		Accelerators: settings.Accelerators, Slots: settings.Upstream.Slots,
 		Connections: settings.Upstream.Connections, Kinds: settings.Upstream.Kinds,
 		Worker: worker, Upstream: upstream, Events: p.events, Metrics: p.metrics,
