--- a/internal/test/proof/doc.go
+++ b/internal/test/proof/doc.go
@@ -2,9 +2,10 @@
 // stand-ins of the platform on loopback, with a fault-injecting proxy on the
 // paths between them. It has no code outside of its tests.
 //
-// A proxy stands on the path of each entry to the log service, and on the path
-// from each entry and agent to the inner port of each other one, so that any two
-// processes can be cut from each other, one way too. Not on a proxy are the
+// A proxy stands on the path of each entry to the log service. In the fleets of
+// startCuttable one stands also on the path from each entry and agent to the
+// inner port of each other one, so that any two can be cut from each other, one
+// way too. Not on a proxy are the
 // paths of agents to their worker and upstream, and those of callers. A cut
 // closes connections at once; a link that loses packets is shown as silence.
 //
