A silent connection takes the idle ones with it

By reading: connections without calls are not probed. When all connections of a process go silent together, the repeated attempt can take an idle one, which is silent too, and waits for its loss as well, 1.5 s more.

Ruled out: probes of idle connections, which cost each entry a probe for each agent all the time.

Change: when a probe fails, the pool first closes the connections without calls that were last used before that probe began. No call is cut, and the next call dials.

The new test fails without the change. The path of the late request itself was not traced.

Conclusion: the bound of a silent connection holds also when all are silent.

--- a/internal/node/dials/pool.go
+++ b/internal/node/dials/pool.go
@@ -217,6 +217,30 @@
 	}
 }
 
+// dropIdle closes the connections without calls that were last used before the
+// time. What silenced one connection may have silenced them too, and the call that
+// is repeated after the loss of one must not wait for the loss of the next.
+func (p *Pool) dropIdle(before time.Time) {
+	for _, c := range p.takeIdle(before) {
+		if c.close() {
+			_ = c.client.Close()
+		}
+	}
+}
+
+// takeIdle removes these connections under mu, so that no call begins on one.
+func (p *Pool) takeIdle(before time.Time) (idle []*Conn) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for address, c := range p.conns {
+		if calls, used := c.load(); calls == 0 && used.Before(before) {
+			delete(p.conns, address)
+			idle = append(idle, c)
+		}
+	}
+	return idle
+}
+
 func (p *Pool) closeAll() {
 	for _, c := range p.list() {
 		p.drop(c)
@@ -276,11 +300,13 @@
 	defer r.conn.endProbe()
 	pctx, cancel := context.WithTimeout(ctx, silentAfter)
 	defer cancel()
+	began := time.Now()
 	err := r.pool.cfg.Probe(pctx, r.conn.client)
 	if err == nil || ctx.Err() != nil || pctx.Err() == nil {
 		return
 	}
 	r.pool.cfg.Events.Add(chestnutpond.Event{Kind: chestnutpond.EventConnReplaced, Upstream: r.conn.address})
 	r.pool.cfg.Metrics.Counter("connections_replaced_total", "Connections closed because they went silent.").Inc(1)
+	r.pool.dropIdle(began)
 	r.pool.drop(r.conn)
 }
--- a/internal/node/dials/pool_test.go
+++ b/internal/node/dials/pool_test.go
@@ -220,6 +220,32 @@
 	}
 }
 
+// Guards against a repeated call that waits for the loss of a second connection,
+// which went silent while it had no calls, and against calls that are cut off on
+// a connection that still answers.
+func TestSilenceDropsIdleConnections(t *testing.T) {
+	p := newPath(t)
+	get := func(address string) (grpc.ClientConnInterface, func()) {
+		conn, done, err := p.pool.Get(address)
+		assert.NilError(t, err)
+		return conn, done
+	}
+	idle, inUse := p.proxy.Upstream, strings.Replace(p.proxy.Upstream, "127.0.0.1", "localhost", 1)
+	first, done := get(idle)
+	done()
+	open, doneOpen := get(inUse)
+	defer doneOpen()
+	ended := p.hold()
+	p.silence()
+	assert.Assert(t, <-ended != nil)
+	second, done := get(idle)
+	done()
+	assert.Assert(t, second != first, "the idle connection is still in use")
+	still, done := get(inUse)
+	done()
+	assert.Assert(t, still == open, "a connection with calls that answers was dropped")
+}
+
 // replaced returns how many connections were replaced, by the events.
 func (p *path) replaced() int {
 	list, _, _ := p.ring.Newest(events.Filter{}, 0)
