Failed ways to the store are probed beside the calls, and lost watches are noticed

Beside that, while the store told nobody of new records, reads hung on all ways, and a leader that wrote counted as silent.

Change: a way that failed is tried last until a probe beside the calls had an answer. The second attempt of a read that waits does not wait, and a feed whose watch had no answer asks every 0.1 s for two seconds. A claim for silence is given up if the leader has written before the claim is made. The list of entries is read less often.

--- a/internal/node/feed/feed.go
+++ b/internal/node/feed/feed.go
@@ -23,10 +23,14 @@
 var Error = errs.Class("feed")
 
 const (
-	// pollWait is how long a read waits for a record. A way to the store that
-	// went silent is noticed a little later, well inside the 2.5 s in which a
-	// new document must be in force.
-	pollWait = 700 * time.Millisecond
+	// DefaultWait is how long a read waits for a record. The leader writes one
+	// every 0.5 s. A way to the store that went silent is noticed a little later,
+	// well inside the 2.5 s in which a new document must be in force.
+	DefaultWait = 600 * time.Millisecond
+	// askFor is how long a store that does not tell of new records is asked every
+	// askEvery instead. The users' store loses its watches for a second.
+	askFor   = 2 * time.Second
+	askEvery = 100 * time.Millisecond
 	// retryPause is the pause after a failed read.
 	retryPause = 100 * time.Millisecond
 	// maxRetryPause bounds the pause, which doubles with each failure in a row. It
@@ -48,8 +52,10 @@
 	Store    chestnutpond.Store
 	Topic    chestnutpond.Topic
 	Receiver Receiver
-	Now      func() time.Duration
-	Log      *slog.Logger
+	// Wait is how long a read waits for a record; zero means DefaultWait.
+	Wait time.Duration
+	Now  func() time.Duration
+	Log  *slog.Logger
 }
 
 // Feed follows a topic. It is safe for concurrent use.
@@ -71,10 +77,15 @@
 	// since is when the current row of successful reads began.
 	since time.Duration
 	lost  bool
+	// askUntil is until when reads do not wait for records.
+	askUntil time.Duration
 }
 
 // New returns a feed that has read nothing.
 func New(c Config) *Feed {
+	if c.Wait == 0 {
+		c.Wait = DefaultWait
+	}
 	f := &Feed{cfg: c, turn: make(chan struct{}, 1)}
 	f.turn <- struct{}{}
 	return f
@@ -104,20 +115,41 @@
 func (f *Feed) Run(ctx context.Context) error {
 	wait := retryPause
 	for ctx.Err() == nil {
-		if err := f.turnOnce(ctx, pollWait); err != nil {
-			f.failed(err)
-			select {
-			case <-ctx.Done():
-			case <-time.After(wait):
-			}
-			wait = min(2*wait, maxRetryPause)
+		err := f.follow(ctx)
+		if err == nil {
+			wait = retryPause
 			continue
 		}
-		wait = retryPause
+		f.failed(err)
+		select {
+		case <-ctx.Done():
+		case <-time.After(wait):
+		}
+		wait = min(2*wait, maxRetryPause)
 	}
 	return nil
 }
 
+// follow makes one read that waits for records, or one that does not and a pause
+// while the store does not tell of new records.
+func (f *Feed) follow(ctx context.Context) error {
+	now := f.cfg.Now()
+	f.mu.Lock()
+	asking := now < f.askUntil
+	f.mu.Unlock()
+	if asking {
+		if err := f.turnOnce(ctx, 0); err != nil {
+			return err
+		}
+		select {
+		case <-ctx.Done():
+		case <-time.After(askEvery):
+		}
+		return nil
+	}
+	return f.turnOnce(ctx, f.cfg.Wait)
+}
+
 // CatchUp reads until all records that were stored before the call have been
 // applied.
 func (f *Feed) CatchUp(ctx context.Context) error {
@@ -205,6 +237,11 @@
 	if err != nil {
 		return err
 	}
+	if batch.Unwatched {
+		f.mu.Lock()
+		f.askUntil = f.cfg.Now() + askFor
+		f.mu.Unlock()
+	}
 	end := next + int64(len(batch.Records))
 	if len(batch.Records) > 0 {
 		f.cfg.Receiver.Apply(batch.Records)
--- a/internal/node/fleet/entry.go
+++ b/internal/node/fleet/entry.go
@@ -79,6 +79,9 @@
 // Leads reports whether the entry leads.
 func (e *Entry) Leads() bool { return e.manager.Leads() }
 
+// Direct reports whether the entry's own way to the store works.
+func (e *Entry) Direct() bool { return e.store.Direct() }
+
 // Run runs the entry until the context ends.
 func (e *Entry) Run(ctx context.Context) error {
 	e.log.Info("process starts", "name", e.base.Name, "boot", e.boot, "zone", e.base.Zone, "address", e.base.Address)
--- a/internal/node/fleet/fleet.go
+++ b/internal/node/fleet/fleet.go
@@ -31,6 +31,10 @@
 // Error is the class of this package's errors.
 var Error = errs.Class("fleet")
 
+// rosterWait is how long a read waits for the address of an entry. Only a
+// replaced entry writes one, and others learn of it from agents, too.
+const rosterWait = 2 * time.Second
+
 // Base is what both processes have.
 type Base struct {
 	Name   string
@@ -99,7 +103,7 @@
 // entries returns the feed of the list of entries.
 func (p *process) entries() *feed.Feed {
 	f := feed.New(feed.Config{
-		Store: p.store, Topic: chestnutpond.TopicEntries, Receiver: p.roster, Now: p.base.Now,
+		Store: p.store, Topic: chestnutpond.TopicEntries, Receiver: p.roster, Wait: rosterWait, Now: p.base.Now,
 		Log: p.base.Logs.Logger("roster"),
 	})
 	p.watch(chestnutpond.TopicEntries, f)
--- a/internal/node/lead/claim.go
+++ b/internal/node/lead/claim.go
@@ -50,6 +50,9 @@
 	deaf time.Duration
 }
 
+// leaderIsSilent is why an entry claims after the leader's records stay out.
+const leaderIsSilent = "leader is silent"
+
 // consider claims if nobody leads.
 func (m *Manager) consider(ctx context.Context) {
 	status := m.feed.Status()
@@ -97,7 +100,7 @@
 		return "leader hears few agents", s.deaf + deafLimit
 	}
 	if silent := max(s.seen, readable); now-silent >= leaderSilent {
-		return "leader is silent", silent + leaderSilent
+		return leaderIsSilent, silent + leaderSilent
 	}
 	return "", 0
 }
@@ -159,7 +162,12 @@
 		}
 		m.mu.Lock()
 		leader, end := m.table.Leader(), m.table.Next()
+		written := leader.Offset != m.suspicion.offset && why == leaderIsSilent
 		m.mu.Unlock()
+		if written {
+			m.cfg.Log.Info("claim given up: the leader has written meanwhile", "epoch", before)
+			return
+		}
 		if leader.GetEpoch() != before || leader.GetNonce() == nonce {
 			// Another entry was faster, or an earlier try of this claim took effect.
 			if leader.GetNonce() == nonce {
--- a/internal/node/relay/relay.go
+++ b/internal/node/relay/relay.go
@@ -6,6 +6,9 @@
 // another process, whose Server hands it on. Every call may be made twice: reads
 // change nothing, and appends either repeat the content of their keys or carry a
 // producer's sequence.
+//
+// A way that failed or fell silent is tried last until a probe beside the calls
+// has had an answer, so that no call waits to find out.
 package relay
 
 import (
@@ -13,6 +16,7 @@
 	"errors"
 	"log/slog"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/chestnutpond/chestnutpond"
@@ -25,14 +29,19 @@
 	// made another way. An append takes 4 ms and the way across regions 20 ms; a
 	// busy store needs a multiple.
 	hedgeDelay = 250 * time.Millisecond
-	// readDelay is the same for a read that waits for nothing. It changes nothing
-	// in the store, so it may be made another way sooner.
+	// readDelay is the same for a read that waits for nothing, and waitDelay for one
+	// that waits for records, beyond that wait. Reads change nothing in the store, so
+	// they may be made another way sooner.
 	readDelay = 80 * time.Millisecond
+	waitDelay = 150 * time.Millisecond
 	// attemptLimit bounds one attempt beyond the time that a read waits. A store
 	// that is slowed down 66 times answers in 300 ms.
 	attemptLimit = 1500 * time.Millisecond
-	// pause is how long a way that failed is tried last.
-	pause = 500 * time.Millisecond
+	// probeFirst is the time from the failure of a way to its first probe. It doubles
+	// with each probe that fails, up to probeMost, because each is a call that is
+	// paid for.
+	probeFirst = 500 * time.Millisecond
+	probeMost  = 2 * time.Second
 	// usualWeight is the number of faster answers after which a slow one is mostly
 	// forgotten.
 	usualWeight = 4
@@ -41,7 +50,7 @@
 	slowFactor = 3
 	// maxDelay bounds that time. A way that went silent must not keep a document
 	// from being in force within the 2.5 s that operators are promised: a read waits
-	// 0.7 s for records, and the other way takes 20 ms.
+	// 0.6 s for records, and the other way takes 20 ms.
 	maxDelay = 900 * time.Millisecond
 	// maxWays bounds the ways that one call is made.
 	maxWays = 4
@@ -67,8 +76,10 @@
 	meters *meters
 
 	mu sync.Mutex
-	// bad has the ways that failed, and when they count as usable again.
-	bad map[string]time.Duration
+	// bad has the ways that failed and have not answered since.
+	bad map[string]*failedWay
+	// last is the read that was made last, which probes repeat.
+	last position
 	// lost means that the process's own way failed last.
 	lost bool
 	// answered is when the store last answered, usual what an answer takes now.
@@ -76,11 +87,28 @@
 	usual    time.Duration
 }
 
+// failedWay is a way that is tried last.
+type failedWay struct {
+	// due is when the next probe is made, wait the time from one to the next.
+	due, wait time.Duration
+	// probing means that a probe is under way.
+	probing bool
+}
+
+// position is a place in a topic.
+type position struct {
+	topic chestnutpond.Topic
+	from  int64
+}
+
 var _ chestnutpond.Store = (*Store)(nil)
 
 // New returns a store.
 func New(c Config) *Store {
-	return &Store{cfg: c, meters: newMeters(c.Metrics), bad: map[string]time.Duration{}}
+	return &Store{
+		cfg: c, meters: newMeters(c.Metrics), bad: map[string]*failedWay{},
+		last: position{topic: chestnutpond.TopicEntries},
+	}
 }
 
 // direct names the process's own way.
@@ -137,12 +165,15 @@
 		if i > 0 {
 			w.store = &client{mesh: s.cfg.Mesh, address: name}
 		}
-		if until, failed := s.bad[name]; failed && now < until {
+		if failed := s.bad[name]; failed != nil {
 			bad = append(bad, w)
 			continue
 		}
 		good = append(good, w)
 	}
+	if len(good) > 0 {
+		s.probeDue(now, bad)
+	}
 	all := append(good, bad...)
 	return all[:min(len(all), maxWays)]
 }
@@ -151,10 +182,11 @@
 func (s *Store) mark(w way, err error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if err == nil {
+	switch failed := s.bad[w.name]; {
+	case err == nil:
 		delete(s.bad, w.name)
-	} else {
-		s.bad[w.name] = s.cfg.Now() + pause
+	case failed == nil:
+		s.bad[w.name] = &failedWay{due: s.cfg.Now() + probeFirst, wait: probeFirst}
 	}
 	if w.name != direct {
 		return
@@ -307,16 +339,26 @@
 	return first.get(), err
 }
 
-// Read implements chestnutpond.Store.
+// Read implements chestnutpond.Store. If the first way leaves a read that waits
+// without an answer, the other ones are asked for what is there, because the store
+// may serve calls and yet not tell of new records.
 func (s *Store) Read(ctx context.Context, topic chestnutpond.Topic, from int64, wait time.Duration) (chestnutpond.KeyedBatch, error) {
+	s.noteRead(position{topic, from})
 	var got once[chestnutpond.KeyedBatch]
-	delay := hedgeDelay
+	delay := waitDelay
 	if wait == 0 {
 		delay = readDelay
 	}
+	var asked atomic.Bool
 	err := s.try(ctx, opRead, wait, delay, func(ctx context.Context, st chestnutpond.Store) error {
+		again := wait > 0 && asked.Swap(true)
+		wait := wait
+		if again {
+			wait = 0
+		}
 		batch, err := st.Read(ctx, topic, from, wait)
 		if err == nil {
+			batch.Unwatched = again
 			got.set(batch)
 		}
 		return err
--- a/internal/test/stand/keyed.go
+++ b/internal/test/stand/keyed.go
@@ -22,6 +22,8 @@
 	appended chan struct{}
 	// down makes every call of everybody fail.
 	down chestnutpond.StoreFault
+	// deaf leaves reads that wait without an answer.
+	deaf bool
 }
 
 type keyedTopic struct {
@@ -51,6 +53,14 @@
 	s.down = f
 }
 
+// SetDeaf leaves reads that wait for records without an answer, as if watches had
+// been lost; all other calls are served.
+func (s *KeyedStore) SetDeaf(on bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.deaf = on
+}
+
 // Trim drops the log of a topic; the newest record of each key stays.
 func (s *KeyedStore) Trim(topic chestnutpond.Topic) {
 	s.mu.Lock()
@@ -189,8 +199,12 @@
 		if from < t.end() {
 			batch.Records = append(batch.Records, t.records[from-t.first:]...)
 		}
-		appended := s.appended
+		appended, deaf := s.appended, s.deaf && wait > 0
 		s.mu.Unlock()
+		if deaf {
+			<-ctx.Done()
+			return chestnutpond.KeyedBatch{}, &chestnutpond.StoreError{Fault: chestnutpond.StoreInDoubt, Err: ctx.Err()}
+		}
 		if len(batch.Records) > 0 || wait == 0 {
 			return batch, nil
 		}
--- a/store.go
+++ b/store.go
@@ -57,6 +57,9 @@
 	Records []KeyedRecord
 	// First is the lowest offset still kept, End the one of the next append.
 	First, End int64
+	// Unwatched means that a read that waits had no answer, and these records came
+	// by one that does not wait.
+	Unwatched bool
 }
 
 // KeyedPage is a part of the newest records of each key.
