The answer to a question for a state waits for the job's end

Cause: clients ask at about the time at which the work ends and again a quarter of a second later. The end is stored some 10 to 60 ms after it, so almost every job was seen as done by the second question, 0.2 to 0.26 s late; urgent jobs have 0.4 s and half of their work as slack.

Ruled out: the way from the worker to the store. The end of a run is decided within 10 ms, and stored and read within 25 ms.

Change: a question for the state of a job that has not ended is answered when a record of its end is applied, after 0.3 s at the latest. Perpetual and scheduled jobs are answered at once.

--- a/internal/node/front/front.go
+++ b/internal/node/front/front.go
@@ -48,6 +48,10 @@
 	lostProbeLimit = 90 * time.Millisecond
 	// probePause is how long a failed read speaks for the next calls, too.
 	probePause = 50 * time.Millisecond
+	// stateWait is how long the answer to a question for a job's state waits for the
+	// job's end. Callers ask several times a second, and see an end earlier this way
+	// than by their next question.
+	stateWait = 300 * time.Millisecond
 	// lookupLimit bounds the reading of the store for a job that is not known.
 	lookupLimit = 800 * time.Millisecond
 )
@@ -333,12 +337,42 @@
 	return view, verdict(chestnutpond.OutcomeAnswered, "")
 }
 
-// State implements chestnutpond.Intake.
+// State implements chestnutpond.Intake. The answer waits a little for the end of a
+// job that has not ended.
 func (f *Front) State(ctx context.Context, target chestnutpond.IntakeTarget, id chestnutpond.JobID) (chestnutpond.JobState, chestnutpond.Verdict) {
 	view, v := f.lookup(ctx, target, id)
+	if v.Outcome == chestnutpond.OutcomeAnswered && !view.Lasting {
+		view = f.awaitEnd(ctx, id, view)
+	}
 	return view.State, v
 }
 
+// awaitEnd returns the view of a job once it has ended, or as it is after
+// stateWait, at the latest after half of the caller's time.
+func (f *Front) awaitEnd(ctx context.Context, id chestnutpond.JobID, view lead.JobView) lead.JobView {
+	wait := stateWait
+	if deadline, ok := ctx.Deadline(); ok {
+		wait = min(wait, time.Until(deadline)/2)
+	}
+	ctx, cancel := context.WithTimeout(ctx, wait)
+	defer cancel()
+	for {
+		// The watch begins before the look, so that no change falls in between.
+		changed := f.cfg.Lead.Watch(id)
+		if now, known := f.cfg.Lead.Job(id); known {
+			view = now
+		}
+		if view.State.Final() || ctx.Err() != nil {
+			f.cfg.Lead.Unwatch(id)
+			return view
+		}
+		select {
+		case <-ctx.Done():
+		case <-changed:
+		}
+	}
+}
+
 // Cancel implements chestnutpond.Intake.
 func (f *Front) Cancel(ctx context.Context, target chestnutpond.IntakeTarget, id chestnutpond.JobID) chestnutpond.Verdict {
 	view, v := f.lookup(ctx, target, id)
--- a/internal/node/lead/lead.go
+++ b/internal/node/lead/lead.go
@@ -16,6 +16,7 @@
 import (
 	"context"
 	"log/slog"
+	"slices"
 	"sync"
 	"time"
 
@@ -97,6 +98,9 @@
 	ceding int64
 	// suspicion is what speaks against the current leader.
 	suspicion suspicion
+	// watches has a channel for each job that a caller waits for. It is closed when
+	// a record of the job is applied.
+	watches map[chestnutpond.JobID]chan struct{}
 }
 
 // New returns a manager that has read nothing.
@@ -104,6 +108,7 @@
 	m := &Manager{
 		cfg: c, wake: make(chan struct{}, 1), table: graph.New(), streams: map[string]*stream{},
 		meters: newMeters(c.Metrics), inquire: make(chan struct{}, 1),
+		watches: map[chestnutpond.JobID]chan struct{}{},
 	}
 	m.feed = feed.New(feed.Config{
 		Store: c.Store, Topic: chestnutpond.TopicWork, Receiver: m, Now: c.Now, Log: c.Log,
@@ -137,6 +142,7 @@
 		}
 		if id != "" {
 			m.offer(m.table.Job(id))
+			m.notifyWatch(id)
 		}
 	}
 }
@@ -209,6 +215,8 @@
 type JobView struct {
 	Account string
 	State   chestnutpond.JobState
+	// Lasting jobs run until they are cancelled, or at set times.
+	Lasting bool
 }
 
 // Job returns a job. The second result is false if it is not known.
@@ -219,7 +227,41 @@
 	if j == nil {
 		return JobView{}, false
 	}
-	return JobView{Account: j.Graph.Account, State: j.Phase()}, true
+	lasting := j.Graph.Schedule.Repetitions > 0 ||
+		slices.ContainsFunc(j.Graph.Steps, func(s chestnutpond.Step) bool { return s.Perpetual })
+	return JobView{Account: j.Graph.Account, State: j.Phase(), Lasting: lasting}, true
+}
+
+// maxWatches bounds the jobs that callers wait for at a time.
+const maxWatches = 1024
+
+// Watch returns a channel that is closed when a record of the job is applied. It is
+// nil, and never ready, while too many jobs are watched. Unwatch ends the watch.
+func (m *Manager) Watch(id chestnutpond.JobID) <-chan struct{} {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.watches[id] == nil {
+		if len(m.watches) >= maxWatches {
+			return nil
+		}
+		m.watches[id] = make(chan struct{})
+	}
+	return m.watches[id]
+}
+
+// Unwatch ends the watches of a job. Callers that still wait for it look again.
+func (m *Manager) Unwatch(id chestnutpond.JobID) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.notifyWatch(id)
+}
+
+// notifyWatch wakes those who wait for a job. The lock is held.
+func (m *Manager) notifyWatch(id chestnutpond.JobID) {
+	if watch := m.watches[id]; watch != nil {
+		close(watch)
+		delete(m.watches, id)
+	}
 }
 
 // Waiting returns the number of a queue's jobs of which no task has started.
