Answers of the HTTP interface that are no results have a package of their own

Cause: the interface for graphs that follows needs the same bodies, headers and statuses for rejections, "not run" and "unknown", and a second copy could come to differ.

Change: node/reply has them, moved from node/entry without a change of behaviour. In the tests the type of an answer is renamed, because the package now has its name.

Before and after: the tests of node/entry pass unchanged otherwise.

--- a/internal/node/entry/document.go
+++ b/internal/node/entry/document.go
@@ -11,6 +11,7 @@
 
 	"github.com/chestnutpond/chestnutpond"
 	"github.com/chestnutpond/chestnutpond/internal/core/ledger"
+	"github.com/chestnutpond/chestnutpond/internal/node/reply"
 )
 
 // published is the outcome of a publication.
@@ -23,30 +24,30 @@
 func (e *Entry) putDocument(c echo.Context, _ caller) error {
 	base, err := strconv.ParseInt(c.QueryParam("base"), 10, 64)
 	if err != nil || base < 0 {
-		return reject(c, http.StatusBadRequest, chestnutpond.ReasonBase, "base must be the version that was edited")
+		return reply.Reject(c, http.StatusBadRequest, chestnutpond.ReasonBase, "base must be the version that was edited")
 	}
-	body, err := readBody(c, maxDocument)
+	body, err := reply.ReadBody(c, maxDocument)
 	if err != nil {
-		return rejectBody(c, err, maxDocument)
+		return reply.RejectBody(c, err, maxDocument)
 	}
 	doc, err := e.cfg.ParseDocument("document", body)
 	if err != nil {
-		return reject(c, http.StatusUnprocessableEntity, chestnutpond.ReasonBadDocument, err.Error())
+		return reply.Reject(c, http.StatusUnprocessableEntity, chestnutpond.ReasonBadDocument, err.Error())
 	}
 	current, _ := e.current()
 	if current.Service != "" && current.Service != doc.Service {
-		return reject(c, http.StatusUnprocessableEntity, chestnutpond.ReasonBadDocument,
+		return reply.Reject(c, http.StatusUnprocessableEntity, chestnutpond.ReasonBadDocument,
 			"this deployment runs service "+current.Service)
 	}
 	if short := e.overcommitted(doc); short != "" {
-		return reject(c, http.StatusUnprocessableEntity, chestnutpond.ReasonBadDocument, short)
+		return reply.Reject(c, http.StatusUnprocessableEntity, chestnutpond.ReasonBadDocument, short)
 	}
 	id := c.QueryParam("id")
 	if id == "" {
 		id = rand.Text()
 	}
-	if len(id) > maxKey {
-		return reject(c, http.StatusBadRequest, chestnutpond.ReasonBase, "id may have 256 bytes")
+	if len(id) > reply.MaxKey {
+		return reply.Reject(c, http.StatusBadRequest, chestnutpond.ReasonBase, "id may have 256 bytes")
 	}
 	return e.publish(c, ledger.Publish{ID: id, Service: doc.Service, Base: base, Document: body})
 }
@@ -94,17 +95,17 @@
 		return answerPublication(c, p)
 	}
 	if !e.tail.Loaded() || !e.tail.Available() {
-		return failNotRun(c, chestnutpond.ReasonLogUnavailable, "the log service does not answer", time.Second)
+		return reply.NotRun(c, chestnutpond.ReasonLogUnavailable, "the log service does not answer", time.Second)
 	}
 	err := e.tail.Append(ctx, body)
 	if p, ok := e.publication(body.ID); ok {
 		return answerPublication(c, p)
 	}
 	if refused(err) {
-		return failNotRun(c, chestnutpond.ReasonLogUnavailable, err.Error(), time.Second)
+		return reply.NotRun(c, chestnutpond.ReasonLogUnavailable, err.Error(), time.Second)
 	}
 	e.log.Warn("entry: publication not confirmed", "id", body.ID, "error", err)
-	return fail(c, http.StatusGatewayTimeout, failure{
+	return reply.Fail(c, http.StatusGatewayTimeout, reply.Failure{
 		Outcome: chestnutpond.OutcomeUnknown, Reason: chestnutpond.ReasonLogUnavailable,
 		Detail: "ask for the publication by its id", ID: body.ID,
 	})
@@ -122,14 +123,14 @@
 		res.Outcome = chestnutpond.OutcomeLost
 		status = http.StatusConflict
 	}
-	c.Response().Header().Set(headerOutcome, string(res.Outcome))
+	c.Response().Header().Set(reply.HeaderOutcome, string(res.Outcome))
 	return c.JSON(status, res)
 }
 
 func (e *Entry) getDocument(c echo.Context, _ caller) error {
 	doc, raw := e.current()
 	if doc.Version == 0 {
-		return reject(c, http.StatusNotFound, chestnutpond.ReasonNoConfig, "no document was published yet")
+		return reply.Reject(c, http.StatusNotFound, chestnutpond.ReasonNoConfig, "no document was published yet")
 	}
 	c.Response().Header().Set(headerVersion, itoa(doc.Version))
 	return c.Blob(http.StatusOK, "application/yaml", raw)
--- a/internal/node/entry/entry_test.go
+++ b/internal/node/entry/entry_test.go
@@ -13,6 +13,7 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/chestnutpond/chestnutpond"
+	"github.com/chestnutpond/chestnutpond/internal/node/reply"
 )
 
 func digestOf(token string) string {
@@ -20,7 +21,7 @@
 	return hex.EncodeToString(sum[:])
 }
 
-func (w *world) job(token, id string) reply {
+func (w *world) job(token, id string) received {
 	return w.send(call{method: "GET", path: "/v1/jobs/" + id, token: token})
 }
 
@@ -84,7 +85,7 @@
 	w := newWorld(t)
 	w.open()
 	w.addAgent("worker-1", "rack-1")
-	var last reply
+	var last received
 	for i := range 5 {
 		last = w.send(jobCall(salesToken, fmt.Sprint(i), job8))
 		if last.status != http.StatusAccepted {
@@ -102,7 +103,7 @@
 	w := newWorld(t)
 	w.open()
 	const operators = 8
-	replies := make([]reply, operators)
+	replies := make([]received, operators)
 	var done sync.WaitGroup
 	for i := range operators {
 		done.Go(func() {
@@ -154,7 +155,7 @@
 	w.addAgent("worker-1", "rack-1")
 	served := w.send(request("price_list", salesToken, "x", nil))
 	assert.Equal(t, served.status, http.StatusOK, served.text)
-	assert.Equal(t, served.header.Get(headerOutcome), string(chestnutpond.OutcomeAnswered))
+	assert.Equal(t, served.header.Get(reply.HeaderOutcome), string(chestnutpond.OutcomeAnswered))
 	assert.Equal(t, served.header.Get(headerUpstream), "worker-1")
 
 	w.stop()
--- a/internal/node/entry/http.go
+++ b/internal/node/entry/http.go
@@ -3,8 +3,6 @@
 import (
 	"crypto/sha256"
 	"encoding/hex"
-	"errors"
-	"io"
 	"net/http"
 	"strings"
 	"time"
@@ -12,20 +10,18 @@
 	"github.com/labstack/echo/v4"
 
 	"github.com/chestnutpond/chestnutpond"
+	"github.com/chestnutpond/chestnutpond/internal/node/reply"
 	"github.com/chestnutpond/chestnutpond/internal/obs/stats"
 )
 
 const (
-	headerOutcome     = "Chestnutpond-Outcome"
 	headerRequest     = "Chestnutpond-Request-Id"
 	headerUpstream    = "Chestnutpond-Upstream"
 	headerCallTimeout = "Chestnutpond-Timeout"
 	headerCaller      = "Chestnutpond-Caller"
 	headerVersion     = "Chestnutpond-Version"
-	headerKey         = "Idempotency-Key"
 
-	// maxKey and maxCaller bound names that callers give, in bytes.
-	maxKey    = 256
+	// maxCaller bounds the name of a caller within its account, in bytes.
 	maxCaller = 128
 	// maxJSON bounds a JSON body beyond the payload that it carries, in bytes.
 	maxJSON = 16 << 10
@@ -33,15 +29,6 @@
 	maxDocument = 1 << 20
 )
 
-// failure is the body of every answer that is not the caller's own.
-type failure struct {
-	Outcome chestnutpond.Outcome `json:"outcome"`
-	Reason  chestnutpond.Reason  `json:"reason,omitempty"`
-	Detail  string               `json:"detail,omitempty"`
-	ID      string               `json:"id,omitempty"`
-	Version int64                `json:"version,omitempty"`
-}
-
 // caller is who sent an HTTP request.
 type caller struct {
 	// account is empty for an operator.
@@ -53,7 +40,7 @@
 	r := echo.New()
 	r.HideBanner = true
 	r.HidePort = true
-	r.HTTPErrorHandler = failRoute
+	r.HTTPErrorHandler = reply.NoRoute
 	r.Use(e.countRefusals)
 	r.GET("/healthz", func(c echo.Context) error { return c.String(http.StatusOK, "ok\n") })
 	r.GET("/readyz", e.getReady)
@@ -71,9 +58,6 @@
 	return r
 }
 
-// failureKey is where fail leaves what it answered, for countRefusals.
-const failureKey = "failure"
-
 // countRefusals counts the answers that are not what the caller asked for.
 func (e *Entry) countRefusals(next echo.HandlerFunc) echo.HandlerFunc {
 	return func(c echo.Context) error {
@@ -82,7 +66,7 @@
 			// Answered here, so that an unknown path is counted too.
 			c.Error(err)
 		}
-		if f, ok := c.Get(failureKey).(failure); ok {
+		if f, ok := reply.Failed(c); ok {
 			e.cfg.Metrics.Counter("refusals_total", "Answers that are not what the caller asked for, by outcome and reason.",
 				stats.Label{Name: "outcome", Value: string(f.Outcome)},
 				stats.Label{Name: "reason", Value: string(f.Reason)}).Inc(1)
@@ -91,20 +75,6 @@
 	}
 }
 
-// failRoute answers what no handler answered: an unknown path or method.
-func failRoute(err error, c echo.Context) {
-	if c.Response().Committed {
-		return
-	}
-	var unrouted *echo.HTTPError
-	if errors.As(err, &unrouted) && unrouted.Code < http.StatusInternalServerError {
-		_ = reject(c, unrouted.Code, chestnutpond.ReasonNoRoute,
-			c.Request().Method+" "+c.Request().URL.Path+" is not part of the interface")
-		return
-	}
-	_ = fail(c, http.StatusInternalServerError, failure{Outcome: chestnutpond.OutcomeUnknown})
-}
-
 func (e *Entry) getReady(c echo.Context) error {
 	if !e.Ready() {
 		return c.String(http.StatusServiceUnavailable, e.notReady())
@@ -133,7 +103,7 @@
 			return e.unidentified(c)
 		}
 		if who.operator != "" {
-			return reject(c, http.StatusForbidden, chestnutpond.ReasonUnauthorized, "an operator has no client account")
+			return reply.Reject(c, http.StatusForbidden, chestnutpond.ReasonUnauthorized, "an operator has no client account")
 		}
 		return next(c, who)
 	}
@@ -143,10 +113,10 @@
 	return func(c echo.Context) error {
 		who, ok := e.identify(c)
 		if !ok {
-			return unauthorized(c)
+			return reply.Unauthorized(c)
 		}
 		if who.operator == "" {
-			return reject(c, http.StatusForbidden, chestnutpond.ReasonUnauthorized, "only operators may do this")
+			return reply.Reject(c, http.StatusForbidden, chestnutpond.ReasonUnauthorized, "only operators may do this")
 		}
 		return next(c, who)
 	}
@@ -190,54 +160,7 @@
 // right one.
 func (e *Entry) unidentified(c echo.Context) error {
 	if e.ConfigVersion() == 0 && c.Request().Header.Get(echo.HeaderAuthorization) != "" {
-		return failNotRun(c, chestnutpond.ReasonNoConfig, "this entry has no document yet", time.Second)
-	}
-	return unauthorized(c)
-}
-
-func unauthorized(c echo.Context) error {
-	c.Response().Header().Set(echo.HeaderWWWAuthenticate, "Bearer")
-	return reject(c, http.StatusUnauthorized, chestnutpond.ReasonUnauthorized, "the bearer token is missing or unknown")
-}
-
-func reject(c echo.Context, status int, reason chestnutpond.Reason, detail string) error {
-	return fail(c, status, failure{Outcome: chestnutpond.OutcomeRejected, Reason: reason, Detail: detail})
-}
-
-func fail(c echo.Context, status int, f failure) error {
-	c.Set(failureKey, f)
-	c.Response().Header().Set(headerOutcome, string(f.Outcome))
-	return c.JSON(status, f)
-}
-
-// failNotRun answers that the work did not run and will not run.
-func failNotRun(c echo.Context, reason chestnutpond.Reason, detail string, retryAfter time.Duration) error {
-	seconds := int(max(retryAfter, time.Second) / time.Second)
-	c.Response().Header().Set(echo.HeaderRetryAfter, itoa(int64(seconds)))
-	status := http.StatusServiceUnavailable
-	switch reason {
-	case chestnutpond.ReasonQueueFull, chestnutpond.ReasonCallerLimit, chestnutpond.ReasonJobLimit:
-		status = http.StatusTooManyRequests
-	}
-	return fail(c, status, failure{Outcome: chestnutpond.OutcomeNotRun, Reason: reason, Detail: detail})
-}
-
-var errTooLarge = Error.New("body is too large")
-
-// readBody reads at most limit bytes.
-func readBody(c echo.Context, limit int64) ([]byte, error) {
-	body, err := io.ReadAll(http.MaxBytesReader(c.Response(), c.Request().Body, limit))
-	var tooLarge *http.MaxBytesError
-	if errors.As(err, &tooLarge) {
-		return nil, errTooLarge
-	}
-	return body, err
-}
-
-func rejectBody(c echo.Context, err error, limit int64) error {
-	if errors.Is(err, errTooLarge) {
-		return reject(c, http.StatusRequestEntityTooLarge, chestnutpond.ReasonBodyTooLarge,
-			"the body may have at most "+itoa(limit)+" bytes")
+		return reply.NotRun(c, chestnutpond.ReasonNoConfig, "this entry has no document yet", time.Second)
 	}
-	return reject(c, http.StatusBadRequest, chestnutpond.ReasonBadBody, "the body could not be read: "+err.Error())
+	return reply.Unauthorized(c)
 }
--- a/internal/node/entry/http_test.go
+++ b/internal/node/entry/http_test.go
@@ -9,6 +9,7 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/chestnutpond/chestnutpond"
+	"github.com/chestnutpond/chestnutpond/internal/node/reply"
 	"github.com/chestnutpond/chestnutpond/internal/test/stand"
 )
 
@@ -56,7 +57,7 @@
 	"request over the size": {request("price_list", salesToken, strings.Repeat("x", 65), nil), 413, "rejected", "body_too_large", "at most 64 bytes"},
 	"timeout of no form":    {request("price_list", salesToken, "", map[string]string{headerCallTimeout: "soon"}), 400, "rejected", "bad_body", headerCallTimeout},
 	"timeout of zero":       {request("price_list", salesToken, "", map[string]string{headerCallTimeout: "0s"}), 400, "rejected", "bad_body", "above zero"},
-	"long key":              {request("order", salesToken, "", map[string]string{headerKey: strings.Repeat("k", 257)}), 400, "rejected", "bad_body", "256 bytes"},
+	"long key":              {request("order", salesToken, "", map[string]string{reply.HeaderKey: strings.Repeat("k", 257)}), 400, "rejected", "bad_body", "256 bytes"},
 	"long caller":           {request("order", salesToken, "", map[string]string{headerCaller: strings.Repeat("k", 129)}), 400, "rejected", "bad_body", "128 bytes"},
 	"long key of a job":     {jobCall(salesToken, strings.Repeat("k", 257), job8), 400, "rejected", "bad_body", "256 bytes"},
 
@@ -112,7 +113,7 @@
 			got := w.send(tt.call)
 			assert.Equal(t, got.status, tt.status, got.text)
 			assert.Equal(t, got.Outcome, tt.outcome, got.text)
-			assert.Equal(t, got.header.Get(headerOutcome), string(tt.outcome))
+			assert.Equal(t, got.header.Get(reply.HeaderOutcome), string(tt.outcome))
 			assert.Equal(t, got.Reason, tt.reason)
 			assert.Assert(t, strings.Contains(got.Detail, tt.detail), got.text)
 			if tt.outcome == chestnutpond.OutcomeLost {
--- a/internal/node/entry/jobs.go
+++ b/internal/node/entry/jobs.go
@@ -17,6 +17,7 @@
 
 	"github.com/chestnutpond/chestnutpond"
 	"github.com/chestnutpond/chestnutpond/internal/core/ledger"
+	"github.com/chestnutpond/chestnutpond/internal/node/reply"
 )
 
 // acceptTimeout bounds the wait for the log when a job is accepted or
@@ -51,7 +52,7 @@
 	if bad != nil {
 		return bad.answer(c)
 	}
-	id := jobID(doc.Service, who.account.Name, c.Request().Header.Get(headerKey))
+	id := jobID(doc.Service, who.account.Name, c.Request().Header.Get(reply.HeaderKey))
 	// A repeat is answered before the checks, because the document and the
 	// workers may have changed since the job was accepted.
 	if old, ok := e.lookupJob(id); ok {
@@ -62,15 +63,15 @@
 		return bad.answer(c)
 	}
 	if e.stopping.Load() {
-		return failNotRun(c, chestnutpond.ReasonDraining, "the entry is stopping", time.Second)
+		return reply.NotRun(c, chestnutpond.ReasonDraining, "the entry is stopping", time.Second)
 	}
 	waiting := 0
 	e.tail.View(func(st *ledger.State) { waiting = st.Waiting(spec.Account, spec.Region) })
 	if waiting >= who.account.JobLimit {
-		return failNotRun(c, chestnutpond.ReasonJobLimit, "the account has "+itoa(int64(waiting))+" waiting jobs", time.Second)
+		return reply.NotRun(c, chestnutpond.ReasonJobLimit, "the account has "+itoa(int64(waiting))+" waiting jobs", time.Second)
 	}
 	if !e.tail.Loaded() || !e.tail.Available() {
-		return failNotRun(c, chestnutpond.ReasonLogUnavailable, "the log service does not answer", time.Second)
+		return reply.NotRun(c, chestnutpond.ReasonLogUnavailable, "the log service does not answer", time.Second)
 	}
 	return e.accept(c, spec, req)
 }
@@ -83,9 +84,9 @@
 		return answerRepeat(c, job, req)
 	}
 	if refused(err) {
-		return failNotRun(c, chestnutpond.ReasonLogUnavailable, err.Error(), time.Second)
+		return reply.NotRun(c, chestnutpond.ReasonLogUnavailable, err.Error(), time.Second)
 	}
-	return fail(c, http.StatusGatewayTimeout, failure{
+	return reply.Fail(c, http.StatusGatewayTimeout, reply.Failure{
 		Outcome: chestnutpond.OutcomeUnknown, Reason: chestnutpond.ReasonLogUnavailable,
 		Detail: "ask for the job by its id, or submit it again with the same key", ID: string(spec.ID),
 	})
@@ -101,10 +102,10 @@
 // used for another job is the caller's mistake.
 func answerRepeat(c echo.Context, old ledger.Job, req jobRequest) error {
 	if old.Spec.Kind != req.Kind || old.Spec.Shape != req.shape() {
-		return reject(c, http.StatusUnprocessableEntity, chestnutpond.ReasonBadBody,
+		return reply.Reject(c, http.StatusUnprocessableEntity, chestnutpond.ReasonBadBody,
 			"the key was used for another job: "+string(old.Spec.ID))
 	}
-	c.Response().Header().Set(headerOutcome, string(chestnutpond.OutcomeAccepted))
+	c.Response().Header().Set(reply.HeaderOutcome, string(chestnutpond.OutcomeAccepted))
 	return c.JSON(http.StatusAccepted, accepted{
 		Outcome: chestnutpond.OutcomeAccepted, ID: old.Spec.ID, State: old.State,
 	})
@@ -117,7 +118,7 @@
 	detail string
 }
 
-func (b *badJob) answer(c echo.Context) error { return reject(c, b.status, b.reason, b.detail) }
+func (b *badJob) answer(c echo.Context) error { return reply.Reject(c, b.status, b.reason, b.detail) }
 
 // readJob checks what a caller asked for against the document and the workers.
 func (e *Entry) readJob(
@@ -159,8 +160,8 @@
 		// Base64 makes a payload a third longer.
 		limit = max(limit, k.MaxBody*4/3+maxJSON)
 	}
-	body, err := readBody(c, limit)
-	if errors.Is(err, errTooLarge) {
+	body, err := reply.ReadBody(c, limit)
+	if errors.Is(err, reply.ErrTooLarge) {
 		return jobRequest{}, &badJob{
 			http.StatusRequestEntityTooLarge, chestnutpond.ReasonBodyTooLarge,
 			"the body may have at most " + itoa(limit) + " bytes",
@@ -173,9 +174,9 @@
 	if err != nil {
 		return jobRequest{}, &badJob{http.StatusBadRequest, chestnutpond.ReasonBadBody, err.Error()}
 	}
-	if len(c.Request().Header.Get(headerKey)) > maxKey || len(req.Caller) > maxCaller {
+	if len(c.Request().Header.Get(reply.HeaderKey)) > reply.MaxKey || len(req.Caller) > maxCaller {
 		return jobRequest{}, &badJob{
-			http.StatusBadRequest, chestnutpond.ReasonBadBody, headerKey + " may have 256 bytes and caller 128 bytes",
+			http.StatusBadRequest, chestnutpond.ReasonBadBody, reply.HeaderKey + " may have 256 bytes and caller 128 bytes",
 		}
 	}
 	return req, nil
@@ -291,7 +292,7 @@
 func (e *Entry) deleteJob(c echo.Context, who caller) error {
 	id := chestnutpond.JobID(c.Param("id"))
 	if job, ok := e.lookupJob(id); !ok || !who.sees(job) {
-		return reject(c, http.StatusNotFound, chestnutpond.ReasonUnknownJob, "no job "+string(id))
+		return reply.Reject(c, http.StatusNotFound, chestnutpond.ReasonUnknownJob, "no job "+string(id))
 	}
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(c.Request().Context()), acceptTimeout)
 	defer cancel()
@@ -299,16 +300,16 @@
 	job, _ := e.lookupJob(id)
 	switch {
 	case job.State == chestnutpond.JobCancelled || job.State == chestnutpond.JobStopping:
-		c.Response().Header().Set(headerOutcome, string(chestnutpond.OutcomeCancelled))
+		c.Response().Header().Set(reply.HeaderOutcome, string(chestnutpond.OutcomeCancelled))
 		return c.JSON(http.StatusOK, accepted{Outcome: chestnutpond.OutcomeCancelled, ID: id, State: job.State})
 	case job.State.Final():
-		return reject(c, http.StatusConflict, chestnutpond.ReasonUnknownJob, "the job has ended: "+string(job.State))
+		return reply.Reject(c, http.StatusConflict, chestnutpond.ReasonUnknownJob, "the job has ended: "+string(job.State))
 	case err == nil:
-		return reject(c, http.StatusConflict, chestnutpond.ReasonUnknownJob, "the job is "+string(job.State))
+		return reply.Reject(c, http.StatusConflict, chestnutpond.ReasonUnknownJob, "the job is "+string(job.State))
 	case refused(err):
-		return failNotRun(c, chestnutpond.ReasonLogUnavailable, err.Error(), time.Second)
+		return reply.NotRun(c, chestnutpond.ReasonLogUnavailable, err.Error(), time.Second)
 	}
-	return fail(c, http.StatusGatewayTimeout, failure{
+	return reply.Fail(c, http.StatusGatewayTimeout, reply.Failure{
 		Outcome: chestnutpond.OutcomeUnknown, Reason: chestnutpond.ReasonLogUnavailable,
 		Detail: "cancel again until it is confirmed", ID: string(id),
 	})
--- a/internal/node/entry/requests.go
+++ b/internal/node/entry/requests.go
@@ -7,6 +7,7 @@
 	"github.com/labstack/echo/v4"
 
 	"github.com/chestnutpond/chestnutpond"
+	"github.com/chestnutpond/chestnutpond/internal/node/reply"
 	"github.com/chestnutpond/chestnutpond/internal/node/serve"
 )
 
@@ -14,22 +15,22 @@
 	doc, _ := e.current()
 	kind, ok := doc.Kind(c.Param("kind"))
 	if !ok || kind.Work != chestnutpond.WorkRequest {
-		return reject(c, http.StatusNotFound, chestnutpond.ReasonUnknownKind,
+		return reply.Reject(c, http.StatusNotFound, chestnutpond.ReasonUnknownKind,
 			"kind "+c.Param("kind")+" is not a request kind of the service")
 	}
-	body, err := readBody(c, kind.MaxBody)
+	body, err := reply.ReadBody(c, kind.MaxBody)
 	if err != nil {
-		return rejectBody(c, err, kind.MaxBody)
+		return reply.RejectBody(c, err, kind.MaxBody)
 	}
 	header := c.Request().Header
 	timeout, err := timeoutOf(header.Get(headerCallTimeout), kind.Timeout)
 	if err != nil {
-		return reject(c, http.StatusBadRequest, chestnutpond.ReasonBadBody, headerCallTimeout+": "+err.Error())
+		return reply.Reject(c, http.StatusBadRequest, chestnutpond.ReasonBadBody, headerCallTimeout+": "+err.Error())
 	}
-	key, name := header.Get(headerKey), header.Get(headerCaller)
-	if len(key) > maxKey || len(name) > maxCaller {
-		return reject(c, http.StatusBadRequest, chestnutpond.ReasonBadBody,
-			headerKey+" may have 256 bytes and "+headerCaller+" 128 bytes")
+	key, name := header.Get(reply.HeaderKey), header.Get(headerCaller)
+	if len(key) > reply.MaxKey || len(name) > maxCaller {
+		return reply.Reject(c, http.StatusBadRequest, chestnutpond.ReasonBadBody,
+			reply.HeaderKey+" may have 256 bytes and "+headerCaller+" 128 bytes")
 	}
 	request := serve.Request{
 		ID: serve.NewID(), Account: who.account.Name, Caller: name, Kind: kind,
@@ -61,12 +62,12 @@
 	}
 	switch res.Outcome {
 	case chestnutpond.OutcomeAnswered:
-		header.Set(headerOutcome, string(res.Outcome))
+		header.Set(reply.HeaderOutcome, string(res.Outcome))
 		return c.Blob(res.Answer.Status, res.Answer.ContentType, res.Answer.Body)
 	case chestnutpond.OutcomeNotRun:
-		return failNotRun(c, res.Reason, res.Detail, res.RetryAfter)
+		return reply.NotRun(c, res.Reason, res.Detail, res.RetryAfter)
 	case chestnutpond.OutcomeDuplicate:
-		return fail(c, http.StatusConflict, failure{Outcome: res.Outcome, Reason: res.Reason, Detail: res.Detail})
+		return reply.Fail(c, http.StatusConflict, reply.Failure{Outcome: res.Outcome, Reason: res.Reason, Detail: res.Detail})
 	}
-	return fail(c, http.StatusGatewayTimeout, failure{Outcome: res.Outcome, Reason: res.Reason, Detail: res.Detail})
+	return reply.Fail(c, http.StatusGatewayTimeout, reply.Failure{Outcome: res.Outcome, Reason: res.Reason, Detail: res.Detail})
 }
--- a/internal/node/entry/status.go
+++ b/internal/node/entry/status.go
@@ -10,6 +10,7 @@
 	"github.com/chestnutpond/chestnutpond"
 	"github.com/chestnutpond/chestnutpond/internal/core/fleet"
 	"github.com/chestnutpond/chestnutpond/internal/core/ledger"
+	"github.com/chestnutpond/chestnutpond/internal/node/reply"
 	"github.com/chestnutpond/chestnutpond/internal/wire/inner"
 )
 
@@ -105,7 +106,7 @@
 func (e *Entry) getJob(c echo.Context, who caller) error {
 	job, ok := e.lookupJob(chestnutpond.JobID(c.Param("id")))
 	if !ok || !who.sees(job) {
-		return reject(c, http.StatusNotFound, chestnutpond.ReasonUnknownJob, "no job "+c.Param("id"))
+		return reply.Reject(c, http.StatusNotFound, chestnutpond.ReasonUnknownJob, "no job "+c.Param("id"))
 	}
 	var reasons map[string]string
 	if job.State == chestnutpond.JobQueued {
--- a/internal/node/entry/timeln.go
+++ b/internal/node/entry/timeln.go
@@ -12,6 +12,7 @@
 	"google.golang.org/grpc"
 
 	"github.com/chestnutpond/chestnutpond"
+	"github.com/chestnutpond/chestnutpond/internal/node/reply"
 	"github.com/chestnutpond/chestnutpond/internal/obs/events"
 	"github.com/chestnutpond/chestnutpond/internal/wire/inner"
 )
@@ -56,7 +57,7 @@
 func (e *Entry) getEvents(c echo.Context, _ caller) error {
 	filter, limit, err := eventQuery(c)
 	if err != nil {
-		return reject(c, http.StatusBadRequest, chestnutpond.ReasonBadBody, err.Error())
+		return reply.Reject(c, http.StatusBadRequest, chestnutpond.ReasonBadBody, err.Error())
 	}
 	req := &inner.EventsRequest{
 		Job: string(filter.Job), Request: filter.Request, Upstream: filter.Upstream, Limit: int32(limit),
--- a/internal/node/entry/world_test.go
+++ b/internal/node/entry/world_test.go
@@ -17,6 +17,7 @@
 	"github.com/chestnutpond/chestnutpond"
 	"github.com/chestnutpond/chestnutpond/internal/conf/svcdoc"
 	"github.com/chestnutpond/chestnutpond/internal/node/agent"
+	"github.com/chestnutpond/chestnutpond/internal/node/reply"
 	"github.com/chestnutpond/chestnutpond/internal/obs/events"
 	"github.com/chestnutpond/chestnutpond/internal/obs/slogs"
 	"github.com/chestnutpond/chestnutpond/internal/obs/stats"
@@ -132,7 +133,7 @@
 	}
 }
 
-func (w *world) publish(base int, document string) reply {
+func (w *world) publish(base int, document string) received {
 	return w.send(call{
 		method: "PUT", path: fmt.Sprintf("/v1/document?base=%d", base), token: operatorToken, body: document,
 	})
@@ -153,8 +154,8 @@
 	header                    map[string]string
 }
 
-// reply is one HTTP answer.
-type reply struct {
+// received is one HTTP answer.
+type received struct {
 	status     int
 	text       string
 	header     http.Header
@@ -168,7 +169,7 @@
 	Guaranteed bool                  `json:"guaranteed"`
 }
 
-func (w *world) send(c call) reply {
+func (w *world) send(c call) received {
 	w.t.Helper()
 	got, err := w.exchange(c)
 	assert.NilError(w.t, err)
@@ -177,10 +178,10 @@
 }
 
 // exchange is safe for concurrent use.
-func (w *world) exchange(c call) (reply, error) {
+func (w *world) exchange(c call) (received, error) {
 	req, err := http.NewRequest(c.method, "http://"+w.entry.Addr()+c.path, strings.NewReader(c.body))
 	if err != nil {
-		return reply{}, err
+		return received{}, err
 	}
 	if c.token != "" {
 		req.Header.Set("Authorization", "Bearer "+c.token)
@@ -190,11 +191,11 @@
 	}
 	res, err := w.client.Do(req)
 	if err != nil {
-		return reply{}, err
+		return received{}, err
 	}
 	defer res.Body.Close()
 	text, err := io.ReadAll(res.Body)
-	got := reply{status: res.StatusCode, text: string(text), header: res.Header}
+	got := received{status: res.StatusCode, text: string(text), header: res.Header}
 	if bytes.HasPrefix(text, []byte("{")) && err == nil {
 		err = json.Unmarshal(text, &got)
 	}
@@ -215,5 +216,5 @@
 const job8 = `{"kind":"forecast","accelerators":8,"adjacency":"worker","payload":"eyJydW4iOiIxaCJ9"}`
 
 func jobCall(token, key, body string) call {
-	return call{method: "POST", path: "/v1/jobs", token: token, body: body, header: map[string]string{headerKey: key}}
+	return call{method: "POST", path: "/v1/jobs", token: token, body: body, header: map[string]string{reply.HeaderKey: key}}
 }
