Graphs of tasks in the service document, submit, status and check

Only the platform's ingress took graphs, so the product's own command line, document and HTTP interface could not name what the planner places.

Ruled out: one form for the wire and another for files. The body of a submission is the file itself, so the check command and the entry read the same text with the same checks.

The short form of one gang stays: as JSON it is a step of one task, or a gang. The state of a task has one definition, in core/graph.

Three expectations of older tests name the new allowed values.

--- a/internal/conf/config/config.go
+++ b/internal/conf/config/config.go
@@ -49,6 +49,7 @@
 	FormDocument Form = "service document"
 	FormEntry    Form = "settings of an entry"
 	FormAgent    Form = "settings of an agent"
+	FormGraph    Form = "graph of tasks"
 )
 
 // Detect tells the form of a file by its keys at the top. The error is of type
@@ -66,11 +67,13 @@
 			return FormEntry, nil
 		case "worker", "upstream", "rack", "status_listen", "accelerators":
 			return FormAgent, nil
+		case "steps", "kind", "payload":
+			return FormGraph, nil
 		}
 	}
 	for _, key := range m.Keys() {
 		m.Report(key, "does not tell what the file is", fmt.Sprintf(
-			"schema for a %s, operators for %s, worker for %s", FormDocument, FormEntry, FormAgent))
+			"schema for a %s, operators for %s, worker for %s, steps for a %s", FormDocument, FormEntry, FormAgent, FormGraph))
 		break
 	}
 	if m.Err() == nil {
--- a/internal/conf/config/config_test.go
+++ b/internal/conf/config/config_test.go
@@ -150,7 +150,8 @@
 		"document": {"schema: 1\n", FormDocument, ""},
 		"entry":    {validEntry, FormEntry, ""},
 		"agent":    {validAgent, FormAgent, ""},
-		"unknown":  {"name: x\n", "", "f:1:7: name does not tell what the file is; allowed: schema for a service document, operators for settings of an entry, worker for settings of an agent"},
+		"graph":    {"kind: lots\nsteps: []\n", FormGraph, ""},
+		"unknown":  {"name: x\n", "", "f:1:7: name does not tell what the file is; allowed: schema for a service document, operators for settings of an entry, worker for settings of an agent, steps for a graph of tasks"},
 		"no keys":  {"{}\n", "", "settings: f: the file has no keys"},
 		"no YAML":  {"a: [\n", "", "f:1:4: sequence end token ']' not found; allowed: plain YAML with distinct keys"},
 	}
--- a/internal/conf/svcdoc/svcdoc.go
+++ b/internal/conf/svcdoc/svcdoc.go
@@ -30,6 +30,9 @@
 	MaxCount = 1024
 	// MaxAccelerators bounds the accelerators of one shape.
 	MaxAccelerators = 1024
+	// MaxGraphAccelerators bounds the accelerators that an account's graphs can
+	// reclaim.
+	MaxGraphAccelerators = 1 << 20
 	// MaxKinds bounds the kinds of a document.
 	MaxKinds = 64
 )
@@ -61,6 +64,12 @@
 	DefaultMaxRuntime  = 24 * time.Hour
 	MinMaxRuntime      = time.Second
 	MaxMaxRuntime      = 30 * 24 * time.Hour
+	// DefaultStretchPercent and DefaultTargetLatency make the objective of a graph:
+	// its longest chain of work times the stretch, and the latency.
+	DefaultStretchPercent = 200
+	MaxStretchPercent     = 10_000
+	DefaultTargetLatency  = time.Second
+	MaxTargetLatency      = 24 * time.Hour
 )
 
 // Parse reads a document; name stands for it in errors, which are of type
@@ -77,11 +86,16 @@
 	}
 	d := chestnutpond.Document{Service: m.Text("service", fields.Name)}
 	d.Accounts = accounts(m)
-	d.Kinds = kinds(m)
+	d.Kinds = kinds(m, d.Service)
 	m.Done()
 	if err := m.Err(); err != nil {
 		return chestnutpond.Document{}, err
 	}
+	for _, k := range d.Kinds {
+		if k.Work == chestnutpond.WorkGraph {
+			d.Pools = []chestnutpond.Pool{{Name: d.Service, RejectsOverload: true}}
+		}
+	}
 	return d, nil
 }
 
@@ -97,6 +111,8 @@
 			QueueLimit:  int(a.IntOr("queue_limit", DefaultQueueLimit, fields.Range{Min: 1, Max: MaxQueueLimit})),
 			JobLimit:    int(a.IntOr("job_limit", DefaultJobLimit, fields.Range{Min: 1, Max: MaxJobLimit})),
 			Guarantees:  guarantees(a),
+
+			Accelerators: a.IntOr("graph_accelerators", 0, fields.Range{Max: MaxGraphAccelerators}),
 		}
 		a.Done()
 		a.Distinct("name", one.Name, names)
@@ -137,15 +153,15 @@
 	return all
 }
 
-// kinds reads the kinds; their names are distinct.
-func kinds(m *fields.Map) []chestnutpond.Kind {
+// kinds reads the kinds of a service; their names are distinct.
+func kinds(m *fields.Map, service string) []chestnutpond.Kind {
 	var all []chestnutpond.Kind
 	names := map[string]bool{}
 	for _, k := range m.Maps("kinds", fields.Range{Min: 1, Max: MaxKinds}) {
 		one := chestnutpond.Kind{
 			Name: k.Text("name", fields.Name),
 			Work: chestnutpond.WorkForm(k.Text("work", fields.OneOf(
-				string(chestnutpond.WorkRequest), string(chestnutpond.WorkJob)))),
+				string(chestnutpond.WorkRequest), string(chestnutpond.WorkJob), string(chestnutpond.WorkGraph)))),
 			Class: chestnutpond.Class(k.Text("class", fields.OneOf(
 				string(chestnutpond.ClassUrgent), string(chestnutpond.ClassStandard), string(chestnutpond.ClassBulk)))),
 			MaxBody: k.IntOr("max_body", DefaultMaxBody, fields.Range{Min: 1, Max: MaxMaxBody}),
@@ -157,6 +173,9 @@
 		case chestnutpond.WorkJob:
 			one = jobKeys(k, one)
 			k.Done()
+		case chestnutpond.WorkGraph:
+			one = graphKeys(k, one, service)
+			k.Done()
 		}
 		k.Distinct("name", one.Name, names)
 		all = append(all, one)
@@ -178,3 +197,20 @@
 	k.MaxRuntime = m.DurationOr("max_runtime", DefaultMaxRuntime, fields.Span{Min: MinMaxRuntime, Max: MaxMaxRuntime})
 	return k
 }
+
+// priorities are those of graphs by the class of their kind.
+var priorities = map[chestnutpond.Class]int{
+	chestnutpond.ClassUrgent: 0, chestnutpond.ClassStandard: 1, chestnutpond.ClassBulk: 2,
+}
+
+// graphKeys adds the keys that only kinds of graphs have.
+func graphKeys(m *fields.Map, k chestnutpond.Kind, service string) chestnutpond.Kind {
+	k.MaxAttempts = int(m.IntOr("max_attempts", DefaultMaxAttempts, fields.Range{Min: 1, Max: MaxMaxAttempts}))
+	stretch := m.IntOr("stretch_percent", DefaultStretchPercent, fields.Range{Min: 100, Max: MaxStretchPercent})
+	k.Queue = &chestnutpond.Queue{Terms: chestnutpond.QueueTerms{
+		Name: k.Name, Service: service, Priority: priorities[k.Class], MaxAttempts: k.MaxAttempts,
+		Stretch:       float64(stretch) / 100,
+		TargetLatency: m.DurationOr("target_latency", DefaultTargetLatency, fields.Span{Max: MaxTargetLatency}),
+	}}
+	return k
+}
--- a/internal/conf/svcdoc/svcdoc_test.go
+++ b/internal/conf/svcdoc/svcdoc_test.go
@@ -75,6 +75,23 @@
 	assert.Equal(t, got.Kinds[1].MaxRuntime, DefaultMaxRuntime)
 }
 
+// Guards against kinds of graphs whose terms are lost on the way to the planner.
+func TestGraphKinds(t *testing.T) {
+	got, err := Parse("doc.yaml", []byte("schema: 1\nservice: s\naccounts:\n  - {name: a, token_sha256: "+digest2+", graph_accelerators: 16}\n"+
+		"kinds:\n  - {name: q, work: graph, class: urgent, max_attempts: 4, stretch_percent: 150, target_latency: 400ms}\n"+
+		"  - {name: r, work: graph, class: bulk}\n"))
+	assert.NilError(t, err)
+	assert.Equal(t, got.Accounts[0].Accelerators, int64(16))
+	assert.DeepEqual(t, got.Pools, []chestnutpond.Pool{{Name: "s", RejectsOverload: true}})
+	assert.DeepEqual(t, got.Kinds[0].Queue, &chestnutpond.Queue{Terms: chestnutpond.QueueTerms{
+		Name: "q", Service: "s", MaxAttempts: 4, Stretch: 1.5, TargetLatency: 400 * time.Millisecond,
+	}})
+	assert.DeepEqual(t, got.Kinds[1].Queue, &chestnutpond.Queue{Terms: chestnutpond.QueueTerms{
+		Name: "r", Service: "s", Priority: 2, MaxAttempts: DefaultMaxAttempts,
+		Stretch: DefaultStretchPercent / 100, TargetLatency: DefaultTargetLatency,
+	}})
+}
+
 // Guards against a message that leaves out where, what, or what is allowed.
 func TestErrors(t *testing.T) {
 	const (
@@ -90,7 +107,7 @@
 		"long name":              {"cotizador", strings.Repeat("c", 65), `2:10: service is "` + strings.Repeat("c", 40) + `…"; allowed: ` + name},
 		"empty name":             {"service: cotizador", "service:", "2:1: service is empty; allowed: " + name},
 		"unknown key":            {"service:", "servce: x\nservice:", `2:1: unknown key "servce"; allowed: schema, service, accounts, kinds`},
-		"unknown key inside":     {"weight: 4", "wieght: 4", `6:5: unknown key "accounts[0].wieght"; allowed: name, token_sha256, weight, queue_limit, job_limit, guarantees`},
+		"unknown key inside":     {"weight: 4", "wieght: 4", `6:5: unknown key "accounts[0].wieght"; allowed: name, token_sha256, weight, queue_limit, job_limit, guarantees, graph_accelerators`},
 		"duplicate key":          {"weight: 4", "name: x", `6:5: mapping key "name" already defined at [4:5]; allowed: plain YAML with distinct keys`},
 		"no name":                {"name: ventas\n    ", "", "4:5: accounts[0].name is missing; allowed: " + name},
 		"digest is a token":      {digest1, "ferraro-example-token", "5:19: accounts[0].token_sha256 has the wrong form; allowed: " + digest},
@@ -107,7 +124,7 @@
 		"repeated guarantee":     {"rack}\n", "rack}\n      - {region: pampa, accelerators: 8, adjacency: rack}\n", "11:18: accounts[0].guarantees[1].region repeats the guarantee of 8 in one rack in pampa; allowed: a greater count in one guarantee"},
 		"guarantee is a text":    {"- {region: pampa, count: 2, accelerators: 8, adjacency: rack}", "- pampa", "10:9: accounts[0].guarantees[0] is a text; allowed: a mapping"},
 		"accounts is a mapping":  {"accounts:\n  - name", "accounts:\n    name", "4:5: accounts is a mapping; allowed: a list of 1 to 1024 mappings"},
-		"work":                   {"work: request", "work: task", `12:30: kinds[0].work is "task"; allowed: request, job`},
+		"work":                   {"work: request", "work: task", `12:30: kinds[0].work is "task"; allowed: request, job, graph`},
 		"class":                  {"class: urgent", "class: high", `12:46: kinds[0].class is "high"; allowed: urgent, standard, bulk`},
 		"idempotent":             {"idempotent: true", "idempotent: yes", "12:66: kinds[0].idempotent is a text; allowed: true, false"},
 		"timeout too long":       {"timeout: 4s", "timeout: 26s", "12:81: kinds[0].timeout is 26s; allowed: 1ms to 25s" + unit},
@@ -121,6 +138,8 @@
 		"job key in a request":   {"timeout: 4s", "checkpoint: 4s", `12:72: unknown key "kinds[0].checkpoint"; allowed: name, work, class, max_body, idempotent, timeout`},
 		"request key in a job":   {"checkpoint: 20s", "timeout: 20s", `13:46: unknown key "kinds[1].timeout"; allowed: name, work, class, max_body, checkpoint, max_attempts, max_runtime`},
 		"same kind twice":        {"name: forecast", "name: price_list", "13:12: kinds[1].name is used twice; allowed: distinct values"},
+		"stretch":                {"work: job, class: bulk, checkpoint: 20s, max_attempts: 2, max_runtime: 36h", "work: graph, class: bulk, stretch_percent: 99", "13:65: kinds[1].stretch_percent is 99; allowed: 100 to 10000"},
+		"request key in a graph": {"work: job, class: bulk, checkpoint: 20s, max_attempts: 2, max_runtime: 36h", "work: graph, class: bulk, timeout: 4s", `13:48: unknown key "kinds[1].timeout"; allowed: name, work, class, max_body, max_attempts, stretch_percent, target_latency`},
 		"alias":                  {"weight: 4", "weight: *w", `6:13: "*" is an anchor, alias, tag, directive, merge key or explicit key; allowed: mappings, lists, texts, numbers and booleans`},
 		"second document":        {"kinds:", "---\nkinds:", "12:1: the file has a second YAML document; allowed: one document"},
 		"syntax":                 {"adjacency: rack}", "adjacency: rack", "11:1: ',' or '}' must be specified; allowed: plain YAML with distinct keys"},
@@ -213,7 +232,14 @@
 			assert.Assert(t, a.Weight >= 1 && a.Weight <= MaxWeight && a.Name != "" && len(a.TokenSHA256) == 64)
 		}
 		for _, k := range d.Kinds {
-			assert.Assert(t, k.Work == chestnutpond.WorkJob && k.MaxRuntime > 0 || k.Timeout >= MinTimeout && k.Timeout <= MaxTimeout)
+			switch k.Work {
+			case chestnutpond.WorkGraph:
+				assert.Assert(t, k.Queue.Terms.Stretch >= 1 && k.Queue.Terms.Name == k.Name && k.MaxAttempts >= 1)
+			case chestnutpond.WorkJob:
+				assert.Assert(t, k.MaxRuntime > 0)
+			default:
+				assert.Assert(t, k.Timeout >= MinTimeout && k.Timeout <= MaxTimeout)
+			}
 		}
 	})
 }
--- a/internal/core/plan/job.go
+++ b/internal/core/plan/job.go
@@ -4,16 +4,16 @@
 	"time"
 
 	"github.com/chestnutpond/chestnutpond"
+	"github.com/chestnutpond/chestnutpond/internal/core/graph"
 )
 
-// taskPhase is where a task stands.
+// taskPhase is where a task stands. Its values are those of the record.
 type taskPhase int32
 
 const (
-	taskWaiting taskPhase = iota
-	taskAssigned
-	taskDone
-	taskFailed
+	taskWaiting  = taskPhase(graph.TaskWaiting)
+	taskAssigned = taskPhase(graph.TaskAssigned)
+	taskDone     = taskPhase(graph.TaskDone)
 )
 
 // job is a job and the state of its occurrences.
--- a/internal/node/fleet/entry.go
+++ b/internal/node/fleet/entry.go
@@ -76,6 +76,9 @@
 // Intake returns what takes the calls of clients.
 func (e *Entry) Intake() chestnutpond.Intake { return front.Metered(e.front, e.base.Metrics) }
 
+// Inspector returns what shows the entry's view of the deployment.
+func (e *Entry) Inspector() chestnutpond.Inspector { return e.front }
+
 // Leads reports whether the entry leads.
 func (e *Entry) Leads() bool { return e.manager.Leads() }
 
--- /dev/null
+++ b/internal/node/front/view.go
@@ -0,0 +1,46 @@
+package front
+
+import (
+	"time"
+
+	"github.com/chestnutpond/chestnutpond"
+)
+
+// staleAfter is the age of the newest read after which the store counts as not
+// available: the wait of a read, and one that fails.
+const staleAfter = 2 * time.Second
+
+var _ chestnutpond.Inspector = (*Front)(nil)
+
+// Identify implements chestnutpond.Inspector.
+func (f *Front) Identify(token string) (string, chestnutpond.Verdict) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.document.Version == 0 {
+		return "", notRun(chestnutpond.ReasonNoConfig)
+	}
+	account := f.account(token)
+	if account == "" {
+		return "", verdict(chestnutpond.OutcomeRejected, chestnutpond.ReasonUnauthorized)
+	}
+	return account, verdict(chestnutpond.OutcomeAnswered, "")
+}
+
+// Jobs implements chestnutpond.Inspector.
+func (f *Front) Jobs(account string) []chestnutpond.GraphView { return f.cfg.Lead.Views(account) }
+
+// Overview implements chestnutpond.Inspector.
+func (f *Front) Overview() chestnutpond.FleetView {
+	view := f.cfg.Lead.Overview()
+	status := f.cfg.Lead.Feed().Status()
+	view.Available = status.Loaded && !status.Lost && f.cfg.Now()-status.Fresh < staleAfter
+	view.Next = status.Next
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	view.Service, view.Version = f.document.Service, f.document.Version
+	view.Guarantees = map[string]int64{}
+	for _, a := range f.document.Accounts {
+		view.Guarantees[a.Name] = a.Accelerators
+	}
+	return view
+}
--- /dev/null
+++ b/internal/node/rest/status.go
@@ -0,0 +1,115 @@
+package rest
+
+import (
+	"fmt"
+	"net/http"
+
+	"github.com/labstack/echo/v4"
+
+	"github.com/chestnutpond/chestnutpond"
+	"github.com/chestnutpond/chestnutpond/internal/node/reply"
+)
+
+type jobView struct {
+	ID           chestnutpond.JobID     `json:"id"`
+	Account      string                 `json:"account"`
+	Kind         string                 `json:"kind"`
+	State        chestnutpond.JobState  `json:"state"`
+	Accelerators int64                  `json:"accelerators"`
+	Adjacency    chestnutpond.Adjacency `json:"adjacency"`
+	// Waiting says how far the tasks of a job are that has not ended.
+	Waiting string `json:"waiting,omitempty"`
+	Reason  string `json:"reason,omitempty"`
+}
+
+type accountView struct {
+	Account    string `json:"account"`
+	Guaranteed int64  `json:"guaranteed"`
+	Waiting    int    `json:"waiting"`
+}
+
+type entryView struct {
+	Name   string `json:"name"`
+	Region string `json:"region"`
+	Zone   string `json:"zone"`
+}
+
+type regionView struct {
+	Region    string `json:"region"`
+	Scheduler string `json:"scheduler"`
+	Term      int64  `json:"term"`
+}
+
+type logView struct {
+	Available  bool  `json:"available"`
+	NextOffset int64 `json:"next_offset"`
+}
+
+type statusView struct {
+	Entry         string        `json:"entry"`
+	Service       string        `json:"service"`
+	ConfigVersion int64         `json:"config_version"`
+	Log           logView       `json:"log"`
+	Regions       []regionView  `json:"regions"`
+	Accounts      []accountView `json:"accounts"`
+	Jobs          []jobView     `json:"jobs"`
+	Entries       []entryView   `json:"entries"`
+}
+
+// allRegions stands for the region of a leader, which places for all of them.
+const allRegions = "all"
+
+func viewJob(g chestnutpond.GraphView) jobView {
+	v := jobView{
+		ID: g.ID, Account: g.Account, Kind: g.Kind, State: g.State, Accelerators: g.Accelerators,
+		Adjacency: chestnutpond.AdjacencyZone, Reason: g.Reason,
+	}
+	if !g.State.Final() {
+		v.Waiting = fmt.Sprintf("%d tasks: %d placed, %d done", g.Tasks, g.Running, g.Done)
+	}
+	return v
+}
+
+func (s *server) getJobs(c echo.Context, account string) error {
+	views := []jobView{}
+	for _, g := range s.cfg.Inspector.Jobs(account) {
+		views = append(views, viewJob(g))
+	}
+	return c.JSON(http.StatusOK, map[string][]jobView{"jobs": views})
+}
+
+func (s *server) getJob(c echo.Context, account string) error {
+	id := chestnutpond.JobID(c.Param("id"))
+	// An entry that has not read of the job yet looks for it in the store.
+	if _, v := s.cfg.Intake.State(c.Request().Context(), target(account), id); v.Outcome != chestnutpond.OutcomeAnswered {
+		return answer(c, v, id)
+	}
+	for _, g := range s.cfg.Inspector.Jobs(account) {
+		if g.ID == id {
+			return c.JSON(http.StatusOK, viewJob(g))
+		}
+	}
+	return reply.Reject(c, http.StatusNotFound, chestnutpond.ReasonUnknownJob, "no job "+string(id))
+}
+
+func (s *server) getStatus(c echo.Context, account string) error {
+	fleet := s.cfg.Inspector.Overview()
+	status := statusView{
+		Entry: s.cfg.Name, Service: fleet.Service, ConfigVersion: fleet.Version,
+		Log:     logView{Available: fleet.Available, NextOffset: fleet.Next},
+		Regions: []regionView{{Region: allRegions, Scheduler: fleet.Leader, Term: fleet.Epoch}},
+		Jobs:    []jobView{},
+	}
+	waiting := 0
+	for _, g := range s.cfg.Inspector.Jobs(account) {
+		if g.State == chestnutpond.JobQueued || g.State == chestnutpond.JobStarting {
+			waiting++
+		}
+		status.Jobs = append(status.Jobs, viewJob(g))
+	}
+	status.Accounts = []accountView{{Account: account, Guaranteed: fleet.Guarantees[account], Waiting: waiting}}
+	for _, e := range fleet.Entries {
+		status.Entries = append(status.Entries, entryView{Name: e.Name, Region: e.Region, Zone: e.Zone})
+	}
+	return c.JSON(http.StatusOK, status)
+}
--- a/internal/tool/client/check.go
+++ b/internal/tool/client/check.go
@@ -8,6 +8,7 @@
 
 	"github.com/chestnutpond/chestnutpond"
 	"github.com/chestnutpond/chestnutpond/internal/conf/config"
+	"github.com/chestnutpond/chestnutpond/internal/conf/jobdoc"
 	"github.com/chestnutpond/chestnutpond/internal/conf/svcdoc"
 )
 
@@ -16,10 +17,10 @@
 func checkCommand() *cli.Command {
 	return &cli.Command{
 		Name:      "check",
-		Usage:     "check service documents and settings files",
+		Usage:     "check service documents, settings files and jobs",
 		ArgsUsage: "FILE...",
 		Description: `Tells by its keys whether a file is a service document, the settings of an
-entry or the settings of an agent, and reports every fault with file, line,
+entry, the settings of an agent or a graph of tasks, and reports every fault with file, line,
 column, what is wrong and what is allowed. Calls no entry.
 
 Exit codes: 0 all files are right; 1 wrong command line; 2 a file is wrong.`,
@@ -64,6 +65,8 @@
 		return s.checkEntry(name, data)
 	case config.FormAgent:
 		return s.checkAgent(name, data)
+	case config.FormGraph:
+		return s.checkGraph(name, data)
 	}
 	d, err := svcdoc.Parse(name, data)
 	if err != nil {
@@ -98,6 +101,20 @@
 	return err
 }
 
+// checkGraph checks a job that is a graph of tasks.
+func (s *session) checkGraph(name string, data []byte) error {
+	j, err := jobdoc.Parse(name, data)
+	if err != nil {
+		return err
+	}
+	tasks := 0
+	for _, step := range j.Graph.Steps {
+		tasks += step.Count
+	}
+	s.printf("%s: ok, %s of kind %s: %d steps, %d tasks\n", name, config.FormGraph, j.Kind, len(j.Graph.Steps), tasks)
+	return nil
+}
+
 // printGuarantees prints how many accelerators the guarantees of each region
 // take, in the order of the document.
 func (s *session) printGuarantees(d chestnutpond.Document) {
--- a/internal/tool/client/client_test.go
+++ b/internal/tool/client/client_test.go
@@ -53,8 +53,8 @@
 
 // received is one call.
 type received struct {
-	// line is the method, target and body.
-	line, key string
+	// line is the method, target and body, form the type of the body.
+	line, key, form string
 }
 
 // seen returns the calls so far. A call whose connection the server closed may
@@ -83,7 +83,7 @@
 	assert.Check(s.t, r.Header.Get("Authorization") == "Bearer example-token")
 	body, err := io.ReadAll(r.Body)
 	assert.Check(s.t, err)
-	a := s.next(received{line: r.Method + " " + r.URL.String() + " " + string(body), key: r.Header.Get("Idempotency-Key")})
+	a := s.next(received{line: r.Method + " " + r.URL.String() + " " + string(body), key: r.Header.Get("Idempotency-Key"), form: r.Header.Get("Content-Type")})
 	if a.status == 0 {
 		panic(http.ErrAbortHandler)
 	}
@@ -336,6 +336,22 @@
 	assert.Assert(t, bytes.Contains(html, []byte("<svg")))
 }
 
+const graphText = "kind: lots\npayload: zips\nsteps:\n  - {count: 4, cpu_millis: 500}\n"
+
+// Guards against a graph that is changed on its way, or sent in another form.
+func TestSubmitGraph(t *testing.T) {
+	file := writeFile(t, "g.yaml", graphText)
+	s, address := start(t, answer{http.StatusAccepted, `{"outcome":"accepted","id":"00000000000000a1"}`})
+	r := execute(t, "submit", "--graph", file, "--address", address, "--key", "lot-1")
+	assert.Equal(t, r.code, 0, r.note)
+	assert.Equal(t, r.out, "accepted as job 00000000000000a1\n")
+	assert.DeepEqual(t, s.seen()[0].line, "POST /v1/jobs "+graphText)
+	assert.Equal(t, s.seen()[0].key, "lot-1")
+	assert.Equal(t, s.seen()[0].form, "application/yaml")
+	r = execute(t, "check", file)
+	assert.Equal(t, r.out, file+": ok, graph of tasks of kind lots: 1 steps, 4 tasks\n")
+}
+
 func TestCheck(t *testing.T) {
 	good := writeFile(t, "good.yaml", document)
 	bad := writeFile(t, "bad.yaml", strings.Replace(document, "bulk", "low", 1))
@@ -351,6 +367,7 @@
 	t.Setenv(AddressVariable, "http://127.0.0.1:1")
 	file := writeFile(t, "d.yaml", document)
 	wrong := writeFile(t, "w.yaml", "schema: 3\n")
+	graph := writeFile(t, "g.yaml", graphText)
 	tests := map[string]struct {
 		arguments []string
 		code      int
@@ -361,7 +378,11 @@
 		"missing file":      {[]string{"check", "none.yaml"}, ExitRejected, "open none.yaml: no such file or directory"},
 		"no base":           {[]string{"publish", file}, ExitFailed, "publish: one file and --base N are needed"},
 		"wrong document":    {[]string{"publish", "--base", "0", wrong}, ExitRejected, wrong + ":1:9: schema is 3; allowed: 1"},
-		"no kind":           {[]string{"submit", "--region", "pampa"}, ExitFailed, `Required flag "kind" not set`},
+		"no kind":           {[]string{"submit", "--region", "pampa"}, ExitFailed, "submit: --kind is needed without --graph"},
+		"no region":         {[]string{"submit", "--kind", "k"}, ExitFailed, "submit: --region is needed without --graph"},
+		"kind of a graph":   {[]string{"submit", "--kind", "k", "--graph", graph}, ExitFailed, "submit: --kind is not used with --graph; the file says it"},
+		"no graph":          {[]string{"submit", "--graph", "none"}, ExitFailed, "submit: open none: no such file or directory"},
+		"wrong graph":       {[]string{"submit", "--graph", wrong}, ExitRejected, wrong + ":1:1: kind is missing; allowed: a name of at most"},
 		"no accelerators":   {[]string{"submit", "--kind", "k", "--region", "r", "--accelerators", "0"}, ExitRejected, "submit: accelerators is 0; allowed: at least 1"},
 		"adjacency":         {[]string{"submit", "--kind", "k", "--region", "r", "--adjacency", "row"}, ExitRejected, `submit: adjacency is "row"; allowed: worker, rack, zone`},
 		"declared":          {[]string{"submit", "--kind", "k", "--region", "r", "--declared", "-1s"}, ExitRejected, "submit: declared is -1s; allowed: a duration above 0"},
--- a/internal/tool/client/jobs.go
+++ b/internal/tool/client/jobs.go
@@ -14,6 +14,7 @@
 	"github.com/urfave/cli/v3"
 
 	"github.com/chestnutpond/chestnutpond"
+	"github.com/chestnutpond/chestnutpond/internal/conf/jobdoc"
 )
 
 const (
@@ -25,6 +26,7 @@
 	flagPayload      = "payload"
 	flagCaller       = "caller"
 	flagKey          = "key"
+	flagGraph        = "graph"
 
 	// submitTries bounds the sendings of one job with the same key.
 	submitTries = 5
@@ -61,12 +63,14 @@
 		Description: `Sends a job with an Idempotency-Key and prints the key first. The same account
 and key always give the same job, so the command repeats by itself, with the
 same key, while it does not know whether the job was accepted; a later run with
---key KEY is as safe.
+--key KEY is as safe. A job is one gang of accelerators, which the flags describe, or
+a graph of tasks from a file.
 
 ` + exitCodes,
 		Flags: commonFlags(
-			&cli.StringFlag{Name: flagKind, Required: true, Usage: "kind of the job, from the service document"},
-			&cli.StringFlag{Name: flagRegion, Required: true, Usage: "region that the job runs in"},
+			&cli.StringFlag{Name: flagGraph, Usage: "file with a graph of tasks, which names its kind; - is the standard input"},
+			&cli.StringFlag{Name: flagKind, Usage: "kind of the job, from the service document; needed without --graph"},
+			&cli.StringFlag{Name: flagRegion, Usage: "region that the job runs in; needed without --graph"},
 			&cli.IntFlag{Name: flagAccelerators, Value: 1, Usage: "accelerators of the whole gang"},
 			&cli.StringFlag{Name: flagAdjacency, Value: string(chestnutpond.AdjacencyWorker), Usage: "worker, rack or zone"},
 			&cli.DurationFlag{Name: flagDeclared, HideDefault: true, Usage: "expected run time, such as 2h"},
@@ -84,7 +88,7 @@
 	if err != nil {
 		return err
 	}
-	body, err := submission(cmd)
+	body, form, err := submission(cmd)
 	if err != nil {
 		return err
 	}
@@ -93,7 +97,7 @@
 		key = newKey()
 	}
 	s.notef("key %s\n", key)
-	answer, err := s.submit(ctx, key, body)
+	answer, err := s.submit(ctx, key, form, body)
 	if err != nil {
 		if exit := cli.ExitCoder(nil); errors.As(err, &exit) && exit.ExitCode() == ExitUnknown {
 			return failf(ExitUnknown, "%v: the job may be accepted; repeat the same command with --key %s, which gives at most one job", err, key)
@@ -109,8 +113,44 @@
 	return nil
 }
 
-// submission returns the body that the flags describe.
-func submission(cmd *cli.Command) ([]byte, error) {
+// The forms of a submission's body.
+const (
+	formGang  = "application/json"
+	formGraph = "application/yaml"
+)
+
+// gangFlags describe a gang of accelerators.
+var gangFlags = []string{flagKind, flagRegion, flagAccelerators, flagAdjacency, flagDeclared, flagPayload, flagCaller}
+
+// submission returns the body that the flags describe, and its form.
+func submission(cmd *cli.Command) ([]byte, string, error) {
+	if !cmd.IsSet(flagGraph) {
+		body, err := gang(cmd)
+		return body, formGang, err
+	}
+	for _, name := range gangFlags {
+		if cmd.IsSet(name) {
+			return nil, "", failf(ExitFailed, "submit: --%s is not used with --%s; the file says it", name, flagGraph)
+		}
+	}
+	name := cmd.String(flagGraph)
+	body, err := readFile(cmd, name, jobdoc.MaxBytes)
+	if err != nil {
+		return nil, "", err
+	}
+	if _, err := jobdoc.Parse(name, body); err != nil {
+		return nil, "", failf(ExitRejected, "submit: %v", err)
+	}
+	return body, formGraph, nil
+}
+
+// gang returns the body of a gang that the flags describe.
+func gang(cmd *cli.Command) ([]byte, error) {
+	for _, name := range []string{flagKind, flagRegion} {
+		if cmd.String(name) == "" {
+			return nil, failf(ExitFailed, "submit: --%s is needed without --%s", name, flagGraph)
+		}
+	}
 	q := jobRequest{
 		Kind:         cmd.String(flagKind),
 		Region:       cmd.String(flagRegion),
@@ -129,20 +169,19 @@
 	} else if d > 0 {
 		q.Declared = d.String()
 	}
-	payload, err := readPayload(cmd)
-	if err != nil {
-		return nil, err
+	if name := cmd.String(flagPayload); name != "" {
+		payload, err := readFile(cmd, name, maxPayload)
+		if err != nil {
+			return nil, err
+		}
+		q.Payload = payload
 	}
-	q.Payload = payload
 	return json.Marshal(q)
 }
 
-// readPayload returns the content of the payload file, or nil if none is given.
-func readPayload(cmd *cli.Command) ([]byte, error) {
-	name := cmd.String(flagPayload)
-	if name == "" {
-		return nil, nil
-	}
+// readFile returns the content of a file, or of the standard input, of at most so
+// many bytes.
+func readFile(cmd *cli.Command, name string, limit int) ([]byte, error) {
 	in := cmd.Root().Reader
 	if name != "-" {
 		f, err := os.Open(name)
@@ -152,12 +191,12 @@
 		defer func() { _ = f.Close() }()
 		in = f
 	}
-	data, err := io.ReadAll(io.LimitReader(in, maxPayload+1))
+	data, err := io.ReadAll(io.LimitReader(in, int64(limit)+1))
 	if err != nil {
 		return nil, failf(ExitFailed, "submit: %v", err)
 	}
-	if len(data) > maxPayload {
-		return nil, failf(ExitRejected, "submit: the payload is too large; allowed: at most %d bytes", maxPayload)
+	if len(data) > limit {
+		return nil, failf(ExitRejected, "submit: the payload is too large; allowed: at most %d bytes", limit)
 	}
 	return data, nil
 }
@@ -165,10 +204,10 @@
 // submit sends the job with the same key while the outcome is unknown. Once one
 // sending was unknown, a later refusal proves nothing about it, so the outcome
 // stays unknown until a sending is accepted.
-func (s *session) submit(ctx context.Context, key string, body []byte) (jobAnswer, error) {
+func (s *session) submit(ctx context.Context, key, form string, body []byte) (jobAnswer, error) {
 	unknown := false
 	try := func() (jobAnswer, error) {
-		answer, err := s.submitOnce(ctx, key, body)
+		answer, err := s.submitOnce(ctx, key, form, body)
 		if err == nil {
 			return answer, nil
 		}
@@ -195,10 +234,10 @@
 }
 
 // submitOnce sends the job to the first entry that answers.
-func (s *session) submitOnce(ctx context.Context, key string, body []byte) (jobAnswer, error) {
+func (s *session) submitOnce(ctx context.Context, key, form string, body []byte) (jobAnswer, error) {
 	r, err := s.api.do(ctx, call{
 		method: http.MethodPost, path: "/v1/jobs", body: body, repeatable: true,
-		header: http.Header{"Content-Type": {"application/json"}, "Idempotency-Key": {key}},
+		header: http.Header{"Content-Type": {form}, "Idempotency-Key": {key}},
 	})
 	if err != nil {
 		return jobAnswer{}, callError("submit", err)
--- a/internal/tool/launch/fleet.go
+++ b/internal/tool/launch/fleet.go
@@ -16,6 +16,7 @@
 	"github.com/urfave/cli/v3"
 
 	"github.com/chestnutpond/chestnutpond/internal/node/fleet"
+	"github.com/chestnutpond/chestnutpond/internal/node/rest"
 	"github.com/chestnutpond/chestnutpond/internal/node/roster"
 	"github.com/chestnutpond/chestnutpond/internal/obs/clock"
 	"github.com/chestnutpond/chestnutpond/internal/obs/slogs"
@@ -107,12 +108,15 @@
 	p.lines.Close(logLimit)
 }
 
-// addMetrics has the group serve the metrics. A port that is taken costs the
-// metrics, not the process.
-func (p *onPlatform) addMetrics(g *run.Group) {
+// addMetrics has the group serve the metrics and, if there is one, another handler
+// for all other paths. A port that is taken costs these, not the process.
+func (p *onPlatform) addMetrics(g *run.Group, others http.Handler) {
 	address := p.settings.Metrics
 	mux := http.NewServeMux()
 	mux.Handle(metricsPath, p.metrics)
+	if others != nil {
+		mux.Handle("/", others)
+	}
 	server := &http.Server{Handler: mux, ReadHeaderTimeout: headerTimeout}
 	listener, err := net.Listen("tcp", address)
 	if err != nil {
@@ -199,7 +203,7 @@
 	var g run.Group
 	addLoop(ctx, &g, e.Run)
 	addLoop(ctx, &g, func(ctx context.Context) error { return p.reload(ctx, e.Roster()) })
-	p.addMetrics(&g)
+	p.addMetrics(&g, rest.New(rest.Config{Name: s.Name, Intake: e.Intake(), Inspector: e.Inspector()}))
 	addServer(&g, clients)
 	addServer(&g, &http.Server{Addr: s.Ready, Handler: ingress.Ready(), ReadHeaderTimeout: headerTimeout})
 	addLoop(ctx, &g, func(ctx context.Context) error { return p.stopEntry(ctx, e, clients) })
@@ -234,7 +238,7 @@
 	var g run.Group
 	addLoop(ctx, &g, a.Run)
 	addLoop(ctx, &g, func(ctx context.Context) error { return p.reload(ctx, a.Roster()) })
-	p.addMetrics(&g)
+	p.addMetrics(&g, nil)
 	addServer(&g, &http.Server{Addr: s.Heartbeats, Handler: beats.Handler(), ReadHeaderTimeout: headerTimeout})
 	addLoop(ctx, &g, func(ctx context.Context) error {
 		ctx, stop := untilSignal(ctx)
