The demo plays a graph of tasks and the end of its leader

Cause: the demo showed requests and gangs only.

Change: after the gangs it starts three entries and four workers on stand-ins in memory, hands a graph of two steps in over HTTP, kills the leading entry and checks that each task was started once. The world of the tests can have workers of any service.

--- a/internal/test/world/world.go
+++ b/internal/test/world/world.go
@@ -37,7 +37,9 @@
 	Entries int
 	Workers int
 	// Racks is the number of racks that the workers are spread over.
-	Racks    int
+	Racks int
+	// Service is that of the workers; empty means a default.
+	Service  string
 	Capacity chestnutpond.Resources
 	Model    func(ref chestnutpond.TaskRef) stand.TaskModel
 	Document chestnutpond.Document
@@ -96,6 +98,9 @@
 	if c.Racks == 0 {
 		c.Racks = 1
 	}
+	if c.Service == "" {
+		c.Service = service
+	}
 	w := &World{
 		cfg: c, Store: stand.NewKeyedStore(), Fleet: stand.NewTaskFleet(c.Model), net: newNetwork(), ctx: ctx,
 		began: time.Now(),
@@ -114,7 +119,7 @@
 		}
 		a.Worker = stand.NewTaskWorker(stand.TaskWorkerConfig{
 			Ticket: ticket,
-			Fleet:  w.Fleet, ID: fmt.Sprintf("worker-%d", i+1), Service: service, Zone: "zone-1",
+			Fleet:  w.Fleet, ID: fmt.Sprintf("worker-%d", i+1), Service: c.Service, Zone: "zone-1",
 			Rack: fmt.Sprintf("rack-%d", i%c.Racks+1), Labels: []string{"a", fmt.Sprintf("rack-%d", i%c.Racks+1)},
 			Capacity: c.Capacity, Lease: Lease, StopTime: StopTime, GangTimeout: 3 * time.Second,
 		})
--- a/internal/tool/demo/caller.go
+++ b/internal/tool/demo/caller.go
@@ -33,6 +33,8 @@
 	State   string `json:"state"`
 	Attempt int64  `json:"attempt"`
 	Version int64  `json:"version"`
+	// Waiting says how far a graph is that has not ended.
+	Waiting string `json:"waiting"`
 }
 
 type eventAnswer struct {
@@ -115,6 +117,11 @@
 	if err != nil {
 		return "", Error.Wrap(err)
 	}
+	return c.send(ctx, token, key, body)
+}
+
+// send submits a job in the form of its body and returns the job's id.
+func (c *caller) send(ctx context.Context, token, key string, body []byte) (string, error) {
 	_, data, err := c.call(ctx, http.MethodPost, "/v1/jobs", token, key, body)
 	if err != nil {
 		return "", err
@@ -123,8 +130,8 @@
 	return res.ID, err
 }
 
-func (c *caller) job(ctx context.Context, id string) (jobAnswer, error) {
-	_, data, err := c.call(ctx, http.MethodGet, "/v1/jobs/"+id, operatorToken, "", nil)
+func (c *caller) job(ctx context.Context, token, id string) (jobAnswer, error) {
+	_, data, err := c.call(ctx, http.MethodGet, "/v1/jobs/"+id, token, "", nil)
 	if err != nil {
 		return jobAnswer{}, err
 	}
--- a/internal/tool/demo/demo.go
+++ b/internal/tool/demo/demo.go
@@ -58,6 +58,7 @@
   - {name: place_order, work: request, class: urgent, idempotent: false, timeout: 2s}
   - {name: pricing_run, work: job, class: urgent, checkpoint: 1s}
   - {name: forecast, work: job, class: bulk, checkpoint: 1s}
+  - {name: lot_match, work: graph, class: standard, max_attempts: 3, stretch_percent: 300, target_latency: 1s}
 `
 
 // deployment is the processes of the demo, in this process.
@@ -94,6 +95,7 @@
 	}
 	if err == nil {
 		d.say("stopped: all open work was handed over")
+		err = d.playGraphs(ctx)
 	}
 	return err
 }
--- a/internal/tool/demo/play.go
+++ b/internal/tool/demo/play.go
@@ -90,7 +90,7 @@
 	if err := d.untilState(ctx, id, "completed"); err != nil {
 		return err
 	}
-	job, err := d.caller.job(ctx, id)
+	job, err := d.caller.job(ctx, operatorToken, id)
 	if err != nil {
 		return err
 	}
@@ -131,7 +131,7 @@
 
 func (d *deployment) untilState(ctx context.Context, id string, states ...string) error {
 	return d.until(ctx, fmt.Sprintf("job %s is %v", id, states), func() bool {
-		job, err := d.caller.job(ctx, id)
+		job, err := d.caller.job(ctx, operatorToken, id)
 		if err != nil {
 			return false
 		}
