--- a/internal/test/proof/soak_test.go
+++ b/internal/test/proof/soak_test.go
@@ -128,7 +128,7 @@
 	n := r.nodes[r.random.IntN(len(r.nodes))]
 	w := r.agents()[r.random.IntN(soakAgents)].worker
 	after := time.Duration(300+r.random.IntN(5000)) * time.Millisecond
-	switch r.random.IntN(18) {
+	switch r.random.IntN(19) {
 	case 0, 1:
 		r.kill(n, after)
 	case 2:
@@ -167,6 +167,9 @@
 		r.later(after/2, func() { w.SetFailing(false) })
 	case 17:
 		r.publish()
+	case 18:
+		r.store.SetDeaf(true)
+		r.later(after, func() { r.store.SetDeaf(false) })
 	}
 }
 
--- a/internal/test/world/chaos_test.go
+++ b/internal/test/world/chaos_test.go
@@ -98,7 +98,7 @@
 	e := w.Entries[c.random.IntN(len(w.Entries))]
 	a := w.Agents[c.random.IntN(len(w.Agents))]
 	after := time.Duration(500+c.random.IntN(7000)) * time.Millisecond
-	switch c.random.IntN(14) {
+	switch c.random.IntN(15) {
 	case 0, 1:
 		if l := w.Leader(); l != nil {
 			c.restart(l, after)
@@ -134,6 +134,9 @@
 		time.AfterFunc(after/2, func() { w.Store.SetDown("") })
 	case 13:
 		w.Store.Trim(chestnutpond.TopicWork)
+	case 14:
+		w.Store.SetDeaf(true)
+		time.AfterFunc(after, func() { w.Store.SetDeaf(false) })
 	}
 }
 
