Refusals of an entry that has read nothing are logged

Change: one line each, with host and path, or the job's id.

Test: an entry that starts while the store is down refuses a call and a job; its log has both, and had neither before.

--- a/internal/node/front/front.go
+++ b/internal/node/front/front.go
@@ -180,6 +180,7 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if f.document.Version == 0 {
+		f.cfg.Log.Info("call refused: no document was read yet", "kind", call.Kind, "host", call.Host, "path", call.Path)
 		return chestnutpond.IntakeTarget{}, notRun(chestnutpond.ReasonNoConfig)
 	}
 	best := f.selectQueue(call)
@@ -236,6 +237,7 @@
 		return verdict(chestnutpond.OutcomeAccepted, "")
 	}
 	if !f.cfg.Lead.Feed().Status().Loaded {
+		f.cfg.Log.Warn("job refused", "job", g.ID, "account", target.Account, "error", "the jobs were not read yet")
 		return notRun(chestnutpond.ReasonLogUnavailable)
 	}
 	g.Account, g.Queue, g.Accepted = target.Account, target.Queue.Terms, f.cfg.Wall()
