--- /dev/null
+++ b/internal/test/graphs/load.go
@@ -0,0 +1,170 @@
+// Package graphs measures the planner of graphs on loads in virtual time.
+//
+// A load is a fleet of equal workers and a list of jobs with their true work. The
+// planner sees it through the methods that the leading entry calls; an event loop
+// stands in for the workers. There is no network and no store: a decision takes
+// effect in the next step of the loop. The share of the jobs' value that is done in
+// time stands beside a bound that no scheduler exceeds, so that the table shows what
+// is left to gain.
+package graphs
+
+import (
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"time"
+
+	"github.com/chestnutpond/chestnutpond"
+)
+
+// Seeds are the seeds of the table.
+var Seeds = []uint64{11, 23, 37, 53, 71}
+
+const (
+	service = "service"
+	account = "account"
+	// arrivals is how long jobs arrive.
+	arrivals = 40 * time.Second
+	// waveShare is the share of the service beyond which the objective of a step
+	// allows for waves.
+	waveShare = 0.25
+)
+
+// kind is a kind of job. All are one step.
+type kind struct {
+	name     string
+	priority int
+	// value of a job that is done in its objective.
+	value float64
+	// every is the mean time between two jobs.
+	every time.Duration
+	// work is the mean of the tasks' work, spread the deviation of its logarithm
+	// from job to job, off that of the callers' estimates.
+	work        time.Duration
+	spread, off float64
+	// width is the mean number of tasks.
+	width   float64
+	gang    bool
+	need    chestnutpond.Resources
+	shapes  []int64
+	stretch float64
+	target  time.Duration
+}
+
+// Row is a load.
+type Row struct {
+	Name    string
+	workers int
+	room    chestnutpond.Resources
+	kinds   []kind
+	// burst times the arrivals of the most urgent kind between the seconds 8 and 16.
+	burst float64
+}
+
+// job is a job with what the planner cannot know.
+type job struct {
+	graph   chestnutpond.Graph
+	arrives time.Duration
+	work    time.Duration
+	value   float64
+	// share is the part of the service that its tasks take together, by its scarcest
+	// resource.
+	share float64
+	// objective is the time in which it should be done.
+	objective time.Duration
+}
+
+// room64 and room128 are workers of the two kinds of host that the users have.
+var (
+	room64  = chestnutpond.Resources{CPU: 64_000, Memory: 256_000, Accelerators: 8}
+	room128 = chestnutpond.Resources{CPU: 128_000, Memory: 512_000, Accelerators: 8}
+)
+
+// shapes are the accelerators of a task of a gang.
+var shapes = []int64{1, 2, 4, 8, 8}
+
+// kinds returns an urgent, a standard and a bulk kind, whose arrivals are faster by a
+// factor.
+func kinds(faster float64, scale int64, width float64) []kind {
+	every := func(d time.Duration) time.Duration { return time.Duration(float64(d) / faster) }
+	need := func(cpu, memory int64) chestnutpond.Resources {
+		return chestnutpond.Resources{CPU: chestnutpond.MilliCPU(cpu * scale), Memory: chestnutpond.MiB(memory * scale)}
+	}
+	return []kind{
+		{
+			name: "urgent", value: 4, every: every(2 * time.Second), work: 2500 * time.Millisecond, spread: 0.5, off: 0.3,
+			width: 3 * width, gang: true, need: need(7500, 22_000), shapes: shapes, stretch: 1.5, target: 400 * time.Millisecond,
+		},
+		{
+			name: "standard", priority: 1, value: 3, every: every(2 * time.Second), work: 7 * time.Second, spread: 0.3, off: 0.5,
+			width: 1.5 * width, gang: true, need: need(26_000, 100_000), shapes: shapes, stretch: 3, target: 1200 * time.Millisecond,
+		},
+		{
+			name: "bulk", priority: 2, value: 1, every: every(6 * time.Second), work: 9500 * time.Millisecond, spread: 0.3, off: 0.9,
+			width: 9 * width, need: need(5600, 16_000), shapes: []int64{1}, stretch: 3, target: 3 * time.Second,
+		},
+	}
+}
+
+// Rows returns the loads: the two deployments of today, one of them in a burst of
+// urgent jobs, and a deployment of 53 workers.
+func Rows() []Row {
+	return []Row{
+		{Name: "small_hosts", workers: 11, room: room64, kinds: kinds(1.8, 1, 1), burst: 1},
+		{Name: "large_hosts", workers: 11, room: room128, kinds: kinds(1.8, 2, 1), burst: 1},
+		{Name: "urgent_burst", workers: 11, room: room64, kinds: kinds(1.3, 1, 1), burst: 4},
+		{Name: "large_fleet", workers: 53, room: room128, kinds: kinds(5.5, 2, 1.8), burst: 1},
+	}
+}
+
+// jobs draws the jobs of a row, in order of arrival.
+func (r Row) jobs(seed uint64) []job {
+	random := rand.New(rand.NewPCG(seed, 1))
+	var all []job
+	for i := range r.kinds {
+		k := &r.kinds[i]
+		for at := time.Duration(0); ; {
+			gap := random.ExpFloat64() * k.every.Seconds()
+			if k.priority == 0 && at > 8*time.Second && at < 16*time.Second {
+				gap /= r.burst
+			}
+			if at += seconds(gap); at >= arrivals {
+				break
+			}
+			all = append(all, r.draw(k, random, at, len(all)))
+		}
+	}
+	return all
+}
+
+// draw draws one job of a kind.
+func (r Row) draw(k *kind, random *rand.Rand, at time.Duration, number int) job {
+	work := k.work.Seconds() * math.Exp(k.spread*random.NormFloat64())
+	estimate := work * math.Exp(k.off*random.NormFloat64())
+	count := min(max(1, int(random.ExpFloat64()*k.width+0.5)), 4*int(k.width)+1)
+	step := chestnutpond.Step{
+		Count: count, Need: k.need, Estimate: seconds(estimate), Gang: k.gang && count > 1,
+	}
+	step.Need.Accelerators = k.shapes[random.IntN(len(k.shapes))]
+	for step.Gang && float64(count)*float64(step.Need.Accelerators) > float64(r.workers)*float64(r.room.Accelerators)/2 {
+		step.Need.Accelerators /= 2
+	}
+	step.Need.Accelerators = max(1, step.Need.Accelerators)
+	share := float64(count) / float64(r.workers) * max(
+		float64(step.Need.CPU)/float64(r.room.CPU), float64(step.Need.Memory)/float64(r.room.Memory),
+		float64(step.Need.Accelerators)/float64(r.room.Accelerators))
+	waves := math.Max(1, math.Ceil(share/waveShare))
+	return job{
+		arrives: at, work: seconds(work), value: k.value, share: share,
+		objective: k.target + seconds(k.stretch*work*waves),
+		graph: chestnutpond.Graph{
+			ID: chestnutpond.JobID(fmt.Sprintf("%016x", number+1)), Account: account,
+			Steps: []chestnutpond.Step{step},
+			Queue: chestnutpond.QueueTerms{
+				Name: k.name, Service: service, Priority: k.priority, MaxAttempts: 3, Stretch: k.stretch, TargetLatency: k.target,
+			},
+		},
+	}
+}
+
+func seconds(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
