--- a/internal/node/front/front.go
+++ b/internal/node/front/front.go
@@ -9,11 +9,8 @@
 
 import (
 	"context"
-	"crypto/sha256"
-	"encoding/hex"
 	"errors"
 	"log/slog"
-	"strings"
 	"sync"
 	"time"
 
@@ -175,62 +172,6 @@
 	return chestnutpond.Verdict{Outcome: chestnutpond.OutcomeNotRun, Reason: r, RetryAfter: retryAfter}
 }
 
-// Route implements chestnutpond.Intake.
-func (f *Front) Route(call chestnutpond.IntakeCall) (chestnutpond.IntakeTarget, chestnutpond.Verdict) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	if f.document.Version == 0 {
-		f.cfg.Log.Info("call refused: no document was read yet", "kind", call.Kind, "host", call.Host, "path", call.Path)
-		return chestnutpond.IntakeTarget{}, notRun(chestnutpond.ReasonNoConfig)
-	}
-	best := f.selectQueue(call)
-	if best == nil {
-		f.rejected(call, "", chestnutpond.ReasonUnknownKind)
-		return chestnutpond.IntakeTarget{}, verdict(chestnutpond.OutcomeRejected, chestnutpond.ReasonUnknownKind)
-	}
-	target := chestnutpond.IntakeTarget{Queue: *best, Account: f.account(call.Token)}
-	if call.Kind == "" {
-		target.Rest = call.Path[len(best.PathPrefix):]
-	}
-	if target.Account == "" && !best.Public {
-		f.rejected(call, target.Rest, chestnutpond.ReasonUnauthorized)
-		return chestnutpond.IntakeTarget{}, verdict(chestnutpond.OutcomeRejected, chestnutpond.ReasonUnauthorized)
-	}
-	return target, verdict(chestnutpond.OutcomeAnswered, "")
-}
-
-// selectQueue returns the queue that a call is for, or nil. The lock is held.
-func (f *Front) selectQueue(call chestnutpond.IntakeCall) *chestnutpond.Queue {
-	var best *chestnutpond.Queue
-	for i := range f.document.Kinds {
-		q := f.document.Kinds[i].Queue
-		switch {
-		case q == nil:
-		case call.Kind != "":
-			if q.Terms.Name == call.Kind {
-				return q
-			}
-		case q.Host != call.Host || !strings.HasPrefix(call.Path, q.PathPrefix):
-		case best == nil || len(q.PathPrefix) > len(best.PathPrefix):
-			best = q
-		}
-	}
-	return best
-}
-
-// account returns the account of a token, or the empty string. The lock is held.
-func (f *Front) account(token string) string {
-	digest := sha256.Sum256([]byte(token))
-	return f.tokens[hex.EncodeToString(digest[:])]
-}
-
-// rejected logs a call that the document in force does not allow. The job is
-// empty if the path names no queue. The lock is held.
-func (f *Front) rejected(call chestnutpond.IntakeCall, job string, why chestnutpond.Reason) {
-	f.cfg.Log.Info("call rejected", "job", job, "kind", call.Kind, "host", call.Host, "path", call.Path, "reason", why,
-		"version", f.document.Version)
-}
-
 // Submit implements chestnutpond.Intake.
 func (f *Front) Submit(ctx context.Context, target chestnutpond.IntakeTarget, g chestnutpond.Graph) chestnutpond.Verdict {
 	if _, known := f.cfg.Lead.Job(g.ID); known {
