A way to the store that is sound again is used within three seconds

A probe that began just before the way was sound hung for 1.5 s, the next one came 2 s later, and a probe begins only with a call, up to 0.6 s after it is due: 4.1 s in all, of the test's 3 s.

Ruled out: chance of the machine.

Change: probes are bounded by 1 s, and the pause between two grows to 1 s at most: 2.6 s.

--- a/internal/node/relay/probe.go
+++ b/internal/node/relay/probe.go
@@ -37,7 +37,7 @@
 
 // run makes the probe: a read that waits for nothing.
 func (p *probe) run() {
-	ctx, cancel := context.WithTimeout(context.Background(), attemptLimit)
+	ctx, cancel := context.WithTimeout(context.Background(), probeAnswer)
 	defer cancel()
 	_, err := p.way.store.Read(ctx, p.at.topic, p.at.from, 0)
 	var trimmed *chestnutpond.TrimmedError
--- a/internal/node/relay/relay.go
+++ b/internal/node/relay/relay.go
@@ -39,9 +39,13 @@
 	attemptLimit = 1500 * time.Millisecond
 	// probeFirst is the time from the failure of a way to its first probe. It doubles
 	// with each probe that fails, up to probeMost, because each is a call that is
-	// paid for.
+	// paid for. A way that is sound again is used within 3 s: a probe that began
+	// before, the pause, and the next call, which comes within 0.6 s.
 	probeFirst = 500 * time.Millisecond
-	probeMost  = 2 * time.Second
+	probeMost  = time.Second
+	// probeAnswer bounds a probe. A store that is slowed down 66 times answers in
+	// 300 ms.
+	probeAnswer = time.Second
 	// usualWeight is the number of faster answers after which a slow one is mostly
 	// forgotten.
 	usualWeight = 4
