A new scheduler preempts nothing before agents can announce themselves

Cause: TestAllEntriesReplaced, known red: after all entries were replaced, the running gang was sometimes at attempt 2. By the agents' logs of a failed run the scheduler of the new term stopped it 130 ms after the term began, with the reason that the owner of the cell claims it. The gang is a borrower (24 accelerators of a guarantee of 16), the second rack was free, but its agents had not announced themselves to the new entry yet, so the guaranteed shape had no place but under the running work. Ruled out: a lapsed lease, a second start record, a lost agent (the logs show neither). Change: place.Core holds all preemption until a given time; a scheduler holds it for the first second of its term. Claims that need no preemption go on, and waiting ones are tried again when the hold ends. TestNoPreemptionBeforeTheFleetIsKnown fails without the change.

--- a/internal/core/place/claim.go
+++ b/internal/core/place/claim.go
@@ -120,6 +120,9 @@
 			return true
 		}
 	}
+	if c.holdsPreemption() {
+		return false
+	}
 	c.claimOn(j, best, p)
 	return true
 }
--- a/internal/core/place/consolidate.go
+++ b/internal/core/place/consolidate.go
@@ -34,7 +34,7 @@
 // Guaranteed and urgent jobs are never migrated. A consolidation starts only
 // after the previous one has finished.
 func (c *Core) consolidate() {
-	if !c.consolidates() || c.now < c.consolidateAt {
+	if !c.consolidates() || c.now < c.consolidateAt || c.holdsPreemption() {
 		return
 	}
 	c.consolidateAt = c.now + c.cfg.ConsolidateEvery
--- a/internal/core/place/core.go
+++ b/internal/core/place/core.go
@@ -49,6 +49,8 @@
 	migrations []migration
 	// consolidateAt is the earliest time of the next consolidation.
 	consolidateAt time.Duration
+	// holdUntil is the time before which no job is preempted; 0 once it has passed.
+	holdUntil time.Duration
 
 	seq     int64
 	actions []Action
@@ -76,6 +78,28 @@
 	return c
 }
 
+// HoldPreemption keeps running jobs from being preempted until the given time. A new
+// scheduler does not know all workers yet, and those that it lacks may have free
+// accelerators.
+func (c *Core) HoldPreemption(now, until time.Duration) {
+	c.advance(now)
+	c.holdUntil = until
+}
+
+// holdsPreemption reports whether no job may be preempted yet.
+func (c *Core) holdsPreemption() bool { return c.now < c.holdUntil }
+
+// endHold lets waiting jobs claim again once jobs may be preempted.
+func (c *Core) endHold() {
+	if c.holdUntil == 0 || c.holdsPreemption() {
+		return
+	}
+	c.holdUntil = 0
+	for _, a := range c.ordered {
+		a.recheck = true
+	}
+}
+
 func (c *Core) advance(now time.Duration) { c.now = max(c.now, now) }
 
 // SetDocument applies a new document of accounts and guarantees. Cells of
--- a/internal/core/place/core_test.go
+++ b/internal/core/place/core_test.go
@@ -274,3 +274,49 @@
 		})
 	}
 }
+
+// Guards against a new scheduler that stops running work for a guarantee because the
+// workers with free accelerators have not announced themselves yet.
+func TestNoPreemptionBeforeTheFleetIsKnown(t *testing.T) {
+	const known = time.Second
+	gang := shape(16, chestnutpond.AdjacencyRack)
+	doc := document("a")
+	doc.Accounts[0].Guarantees = []chestnutpond.Guarantee{{Region: "r", Count: 1, Shape: gang}}
+	worker := func(i int) place.Worker {
+		return place.Worker{
+			Name: fmt.Sprintf("w%d", i), Incarnation: 1, Zone: "z", Rack: fmt.Sprintf("r%d", i/3), Accelerators: 8,
+		}
+	}
+	for name, announces := range map[string]bool{"others announce": true, "there are no others": false} {
+		t.Run(name, func(t *testing.T) {
+			c := place.New(place.Config{Region: "r"})
+			c.HoldPreemption(0, known)
+			c.SetDocument(0, doc)
+			var all []chestnutpond.Placement
+			for i := range 3 {
+				c.PutWorker(0, worker(i))
+				all = append(all, chestnutpond.Placement{
+					Member: i, Worker: worker(i).Name, Incarnation: 1, Accelerators: []int{0, 1, 2, 3, 4, 5, 6, 7},
+				})
+			}
+			c.Restore(0, spec("running", "a", chestnutpond.ClassStandard, shape(24, chestnutpond.AdjacencyRack)), 1, all, false, false)
+			c.Submit(0, spec("waiting", "a", chestnutpond.ClassStandard, gang), 0)
+			assert.Equal(t, len(c.Decide(0)), 0)
+			wake, ok := c.NextWake(0)
+			assert.Assert(t, ok && wake <= known, "%s", wake)
+			if announces {
+				for i := 3; i < 6; i++ {
+					c.PutWorker(known/2, worker(i))
+				}
+				started := startActions(c.Decide(known / 2))
+				assert.Equal(t, len(started), 1)
+				assert.Equal(t, started["waiting"].Placements[0].Worker, "w3")
+				return
+			}
+			actions := c.Decide(known)
+			assert.Equal(t, len(actions), 1)
+			assert.Equal(t, actions[0].Kind, place.ActionPreempt)
+			assert.Equal(t, actions[0].Job, chestnutpond.JobID("running"))
+		})
+	}
+}
--- a/internal/core/place/decide.go
+++ b/internal/core/place/decide.go
@@ -60,6 +60,7 @@
 // refresh applies changes that depend only on the time, and places cells if
 // their bindings may have changed.
 func (c *Core) refresh() {
+	c.endHold()
 	c.recordSuccesses()
 	c.endEjections()
 	c.endCooldowns()
@@ -86,7 +87,10 @@
 		add(c.delayed.Top().notBefore)
 	}
 	if c.consolidates() {
-		add(c.consolidateAt)
+		add(max(c.consolidateAt, c.holdUntil))
+	}
+	if c.holdUntil > 0 {
+		add(c.holdUntil)
 	}
 	for _, cl := range c.coolingDown {
 		add(cl.cooldownUntil)
--- a/internal/core/place/preempt.go
+++ b/internal/core/place/preempt.go
@@ -61,6 +61,10 @@
 	if !c.cfg.has(FeaturePreempt) || level >= lastLevel {
 		return false
 	}
+	if c.holdsPreemption() {
+		sq.retryAt = c.holdUntil
+		return false
+	}
 	if c.victimSearches >= maxVictimSearches {
 		sq.retryAt = c.now + victimSearchDelay
 		return false
@@ -192,7 +196,7 @@
 // preemptForReservations preempts the borrowers on the accelerators of
 // reservations older than ReservationPreemptAfter. It does not preempt urgent jobs.
 func (c *Core) preemptForReservations() {
-	if !c.cfg.has(FeatureReservationPreempt) {
+	if !c.cfg.has(FeatureReservationPreempt) || c.holdsPreemption() {
 		return
 	}
 	for _, j := range c.claims {
--- a/internal/node/sched/scheduler.go
+++ b/internal/node/sched/scheduler.go
@@ -16,6 +16,9 @@
 	// maxWakeInterval bounds the time between two decisions when nothing changes.
 	maxWakeInterval = time.Second
 	minWakeInterval = 5 * time.Millisecond
+	// fleetSettleTime is how long a new scheduler preempts no jobs, so that the agents
+	// that reconnect after their entry was lost can announce themselves first.
+	fleetSettleTime = time.Second
 )
 
 // regionScheduler schedules the jobs of one region for one term.
@@ -68,6 +71,7 @@
 // folded from the log.
 func (r *regionScheduler) load(doc chestnutpond.Document) {
 	now := r.mgr.now()
+	r.core.HoldPreemption(now, now+fleetSettleTime)
 	r.core.SetDocument(now, doc)
 	for _, row := range r.mgr.cfg.Members.Rows() {
 		if row.Member.GetRegion() == r.name && !row.Lost {
