Entries notice the return of the store at once

Their calls of before waited for answers that never come until they timed out after 1.5 to 2.1 s, new ones took idle connections that had gone silent, and connections that were set up in the outage came up a second after its end. Ruled out: the back-off of the feeds (0.2 s at most), the probes of failed routes alone (they hang the same way). Change: relay.Store.Run checks the direct route every 100 ms over connections of its own once a call needs a hedge or fails. When a check is answered, idle connections are closed and every pending call is repeated over the direct route. Agents do not run the checks.

--- a/internal/node/fleet/entry.go
+++ b/internal/node/fleet/entry.go
@@ -94,6 +94,7 @@
 func (e *Entry) Run(ctx context.Context) error {
 	e.log.Info("process starts", "name", e.base.Name, "boot", e.boot, "zone", e.base.Zone, "address", e.base.Address)
 	var g run.Group
+	addLoop(ctx, &g, e.store.Run)
 	addLoop(ctx, &g, e.front.Feed().Run)
 	addLoop(ctx, &g, e.manager.Feed().Run)
 	addLoop(ctx, &g, e.entriesFeed().Run)
--- a/internal/node/fleet/fleet.go
+++ b/internal/node/fleet/fleet.go
@@ -48,6 +48,9 @@
 	// Direct is the process's direct connection to the store.
 	Direct chestnutpond.Store
 	// Listener accepts connections of the inner protocol.
+	// Recheck is a second connection to the store, for checks whether it responds again
+	// after an outage; nil means Direct.
+	Recheck chestnutpond.Store
 	Listener net.Listener
 	// Dial opens connections of the inner protocol; nil means TCP.
 	Dial func(ctx context.Context, address string) (net.Conn, error)
@@ -81,7 +84,7 @@
 		server: grpc.NewServer(conns.ServerOptions()...),
 	}
 	p.store = relay.New(relay.Config{
-		Direct: b.Direct, Mesh: p.mesh, Now: b.Now, Log: b.Logs.Logger("store"), Metrics: b.Metrics,
+		Direct: b.Direct, Recheck: b.Recheck, Mesh: p.mesh, Now: b.Now, Log: b.Logs.Logger("store"), Metrics: b.Metrics,
 		Peers: func() []string { return append(p.roster.PeerAddresses(b.Zone, b.Region), peers()...) },
 	})
 	inner.RegisterRelayServer(p.server, relay.NewServer(b.Direct))
--- a/internal/node/relay/relay.go
+++ b/internal/node/relay/relay.go
@@ -14,6 +14,7 @@
 	"context"
 	"errors"
 	"log/slog"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -63,7 +64,10 @@
 type Config struct {
 	// Direct is the store client of the process itself.
 	Direct chestnutpond.Store
-	Mesh   *mesh.Mesh
+	// Recheck is a client of the same store whose connections no other call uses. Run
+	// checks with it whether the store responds again; nil means Direct.
+	Recheck chestnutpond.Store
+	Mesh    *mesh.Mesh
 	// Peers returns the addresses of possible relays in order of preference.
 	Peers func() []string
 	// Now returns the current time of the process's clock.
@@ -78,8 +82,12 @@
 type Store struct {
 	cfg    Config
 	meters *meters
+	// suspected is signalled when the direct route does not respond.
+	suspected chan struct{}
 
 	mu sync.Mutex
+	// returned is closed and replaced when the direct route responds again.
+	returned chan struct{}
 	// failed maps route names to the state of routes that failed and have not responded
 	// since.
 	failed map[string]*failedRoute
@@ -111,8 +119,12 @@
 
 // New returns a store that has made no calls.
 func New(c Config) *Store {
+	if c.Recheck == nil {
+		c.Recheck = c.Direct
+	}
 	return &Store{
 		cfg: c, meters: newMeters(c.Metrics), failed: map[string]*failedRoute{},
+		suspected: make(chan struct{}, 1), returned: make(chan struct{}),
 		lastRead: position{topic: chestnutpond.TopicEntries},
 	}
 }
@@ -171,7 +183,9 @@
 	ctx, cancel := context.WithTimeout(ctx, wait+max(callTimeout, 2*delay))
 	defer cancel()
 	routes := s.routes()
-	results := make(chan attemptResult, len(routes))
+	returned := s.returnSignal()
+	// The direct route may be used once more.
+	results := make(chan attemptResult, len(routes)+1)
 	started, finished := 0, 0
 	// pending maps the routes of pending attempts to their start times.
 	pending := map[route]time.Duration{}
@@ -187,7 +201,12 @@
 	var last error
 	for {
 		select {
+		case <-returned:
+			returned = nil
+			routes = slices.Insert(routes, started, route{name: direct, store: s.cfg.Direct})
+			start()
 		case <-hedge.C:
+			s.suspect()
 			if started < len(routes) {
 				start()
 				hedge.Reset(delay)
--- a/internal/node/relay/routes.go
+++ b/internal/node/relay/routes.go
@@ -87,6 +87,9 @@
 	if r.name != direct {
 		return
 	}
+	if err != nil {
+		s.suspect()
+	}
 	if s.directLost != (err != nil) {
 		s.directLost = err != nil
 		if s.directLost {
--- a/internal/plat/webio/webio.go
+++ b/internal/plat/webio/webio.go
@@ -41,6 +41,8 @@
 	// Connections is the maximum number of open connections; further requests
 	// wait for a free one. Zero means 16.
 	Connections int
+	// DialTimeout limits connection setup. Zero means 2 s.
+	DialTimeout time.Duration
 	// MaxAnswer is the maximum size of a response body in bytes. Zero means 1 MiB.
 	MaxAnswer int64
 }
@@ -95,6 +97,9 @@
 	if c.MaxAnswer == 0 {
 		c.MaxAnswer = 1 << 20
 	}
+	if c.DialTimeout == 0 {
+		c.DialTimeout = dialTimeout
+	}
 	base := strings.TrimSuffix(c.Address, "/")
 	if !strings.Contains(base, "://") {
 		base = "http://" + base
@@ -104,7 +109,7 @@
 		maxResponse: c.MaxAnswer,
 		http: &http.Client{
 			Transport: &http.Transport{
-				DialContext:         (&net.Dialer{Timeout: dialTimeout}).DialContext,
+				DialContext:         (&net.Dialer{Timeout: c.DialTimeout}).DialContext,
 				MaxConnsPerHost:     c.Connections,
 				MaxIdleConnsPerHost: c.Connections,
 				IdleConnTimeout:     idleTimeout,
--- a/internal/test/stand/keyed.go
+++ b/internal/test/stand/keyed.go
@@ -243,6 +243,9 @@
 	// fault fails every call at once; silent leaves every call without an answer.
 	fault  chestnutpond.StoreFault
 	silent bool
+	// stale is the number of idle connections that have gone silent for good. Each call
+	// takes one of them, as long as there are any.
+	stale int
 	// late carries the next appends out after that time and never answers them.
 	late  time.Duration
 	lateN int
@@ -264,6 +267,17 @@
 	c.silent = on
 }
 
+// SetStale leaves the next n calls without an answer, unless CloseIdleConnections is
+// called before.
+func (c *StoreCaller) SetStale(n int) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.stale = n
+}
+
+// CloseIdleConnections makes the next call open a connection.
+func (c *StoreCaller) CloseIdleConnections() { c.SetStale(0) }
+
 // LoseNext carries out the next n appends after a time, without an answer.
 func (c *StoreCaller) LoseNext(n int, after time.Duration) {
 	c.mu.Lock()
@@ -274,7 +288,16 @@
 func (c *StoreCaller) pass(ctx context.Context) error {
 	c.mu.Lock()
 	fault, silent := c.fault, c.silent
+	if !silent && c.stale > 0 {
+		c.stale--
+		silent = true
+	}
 	c.mu.Unlock()
+	return fail(ctx, fault, silent)
+}
+
+// fail returns the error of a call on a way with the given faults, or nil.
+func fail(ctx context.Context, fault chestnutpond.StoreFault, silent bool) error {
 	if silent {
 		<-ctx.Done()
 		return &chestnutpond.StoreError{Fault: chestnutpond.StoreInDoubt, Err: ctx.Err()}
@@ -327,3 +350,17 @@
 func sortedKeys[V any](m map[string]V) []string {
 	return slices.Sorted(maps.Keys(m))
 }
+
+// FreshCaller reads over new connections on a caller's way, so that none is stale.
+type FreshCaller struct{ *StoreCaller }
+
+// Read implements chestnutpond.Store.
+func (c FreshCaller) Read(ctx context.Context, topic chestnutpond.Topic, from int64, wait time.Duration) (chestnutpond.KeyedBatch, error) {
+	c.mu.Lock()
+	fault, silent := c.fault, c.silent
+	c.mu.Unlock()
+	if err := fail(ctx, fault, silent); err != nil {
+		return chestnutpond.KeyedBatch{}, err
+	}
+	return c.Store.Read(ctx, topic, from, wait)
+}
--- a/internal/test/world/net.go
+++ b/internal/test/world/net.go
@@ -30,7 +30,13 @@
 // errRefused is the error of a dial to a host on which nothing listens.
 var errRefused = errors.New("connection refused")
 
-// listen opens the only port of a host.
+// port is the only port of each host.
+const port = "7000"
+
+// addressOf returns the address that a host listens on.
+func addressOf(host string) string { return net.JoinHostPort(host, port) }
+
+// listen opens the port of a host.
 func (n *network) listen(host string) net.Listener {
 	n.mu.Lock()
 	defer n.mu.Unlock()
@@ -41,7 +47,11 @@
 
 // dialer returns the dial function of a host.
 func (n *network) dialer(from string) func(ctx context.Context, address string) (net.Conn, error) {
-	return func(ctx context.Context, to string) (net.Conn, error) {
+	return func(ctx context.Context, address string) (net.Conn, error) {
+		to, _, err := net.SplitHostPort(address)
+		if err != nil {
+			return nil, err
+		}
 		if err := n.passable(ctx.Done(), from, to); err != nil {
 			return nil, err
 		}
--- a/internal/test/world/world.go
+++ b/internal/test/world/world.go
@@ -155,10 +155,10 @@
 func (w *World) base(name string, way *stand.StoreCaller, listener net.Listener) fleet.Base {
 	seeds := []string{}
 	for i := range w.cfg.Entries {
-		seeds = append(seeds, fmt.Sprintf("entry-%d", i+1))
+		seeds = append(seeds, addressOf(fmt.Sprintf("entry-%d", i+1)))
 	}
 	return fleet.Base{
-		Name: name, Zone: "zone-1", Region: "region-1", Address: name, Entries: seeds, Direct: way,
+		Name: name, Zone: "zone-1", Region: "region-1", Address: addressOf(name), Entries: seeds, Direct: way, Recheck: stand.FreshCaller{StoreCaller: way},
 		Listener: listener, Dial: w.net.dialer(name), Now: func() time.Duration { return time.Since(w.began) },
 		Logs:  slogs.New(slogs.Config{Out: w.cfg.Out, RepeatLimit: 1 << 30}),
 		Lease: Lease,
--- a/internal/tool/launch/fleet.go
+++ b/internal/tool/launch/fleet.go
@@ -97,7 +97,7 @@
 	registry := stats.New()
 	return &onPlatform{path: path, settings: s, lines: lines, logs: logs, metrics: registry, base: fleet.Base{
 		Name: s.Name, Zone: s.Zone, Region: s.Region, Address: s.InternalAddress, Entries: s.Entries,
-		Direct: platform.NewStore(s.Store), Listener: listener, Now: clock.Now, Logs: logs, Lease: min(s.Lease, longestLease),
+		Direct: platform.NewStore(s.Store), Recheck: platform.NewStore(s.Store), Listener: listener, Now: clock.Now, Logs: logs, Lease: min(s.Lease, longestLease),
 		Metrics: registry,
 	}}, nil
 }
