A leader that hangs is replaced after 0.9 s instead of 1.5 s

Cause: a frozen leader, or one whose host lost power, refuses no connection, so only its missing records told: three heartbeats, 1.5 s after the last one. Change: the entries already probe the leader every 0.2 s; now the first unanswered probe is remembered, and 0.7 s of them together with a missed heartbeat (0.65 s) are a reason to claim. As with a silent leader, the claim is given up if the topic, read to its end, has a newer record of the leader. Ruled out as too eager: the probe alone (one entry may be cut off from the leader), a shorter leader timeout alone (a slow store). Test: TestTakeoverFromAFrozenLeader failed before in two of four phases (no leader after 1.3 s); TestNoTakeoverFromAWorkingLeader holds that a cut to one entry and a store of 0.2 s cause none.

--- a/internal/node/lead/claim.go
+++ b/internal/node/lead/claim.go
@@ -23,6 +23,10 @@
 	// heartbeatTimeout is the age of the leader's newest record after which a
 	// heartbeat is missing: one interval plus the latency of the store.
 	heartbeatTimeout = heartbeatInterval + 150*time.Millisecond
+	// unansweredTimeout is how long the leader may leave probes without an answer,
+	// while it also misses a heartbeat, before another entry claims: one probe and the
+	// start of the next.
+	unansweredTimeout = 700 * time.Millisecond
 	// claimStagger is the additional delay of each lower-ranked entry, so that one
 	// claim is stored and read before the next one is made.
 	claimStagger = 200 * time.Millisecond
@@ -44,6 +48,9 @@
 	// refusedSince is when the leader's host began to refuse connections, or when
 	// restarted was set; otherwise 0.
 	refusedSince time.Duration
+	// unansweredSince is when the first of the latest probes that got no answer was
+	// sent; otherwise 0.
+	unansweredSince time.Duration
 	// offset is the offset of the newest leader record, offsetSeen when this entry
 	// first saw it.
 	offset     int64
@@ -53,9 +60,14 @@
 	fewAgentsSince time.Duration
 }
 
-// reasonLeaderSilent is the reason of a claim after the leader stopped appending
-// records.
-const reasonLeaderSilent = "leader is silent"
+const (
+	// reasonLeaderSilent is the reason of a claim after the leader stopped appending
+	// records.
+	reasonLeaderSilent = "leader is silent"
+	// reasonLeaderHangs is the reason of a claim after the leader stopped appending
+	// records and answering probes.
+	reasonLeaderHangs = "leader answers no probes"
+)
 
 // claimIfVacant claims leadership if there is no working leader.
 func (m *Manager) claimIfVacant(ctx context.Context) {
@@ -103,7 +115,11 @@
 	if s.fewAgentsSince > 0 && now-s.fewAgentsSince >= fewAgentsTimeout {
 		return "leader hears few agents", s.fewAgentsSince + fewAgentsTimeout
 	}
-	if silent := max(s.offsetSeen, readable); now-silent >= leaderTimeout {
+	silent := max(s.offsetSeen, readable)
+	if hung := max(s.unansweredSince+unansweredTimeout, silent+heartbeatTimeout); s.unansweredSince > 0 && now >= hung {
+		return reasonLeaderHangs, hung
+	}
+	if now-silent >= leaderTimeout {
 		return reasonLeaderSilent, silent + leaderTimeout
 	}
 	return "", 0
@@ -168,7 +184,7 @@
 		}
 		m.mu.Lock()
 		leader, end := m.table.Leader(), m.table.Next()
-		leaderAlive := leader.Offset != m.suspicion.offset && why == reasonLeaderSilent
+		leaderAlive := leader.Offset != m.suspicion.offset && (why == reasonLeaderSilent || why == reasonLeaderHangs)
 		m.mu.Unlock()
 		if leaderAlive {
 			m.cfg.Log.Info("claim abandoned: the leader has appended a record meanwhile", "epoch", before)
--- a/internal/node/lead/probe.go
+++ b/internal/node/lead/probe.go
@@ -63,6 +63,7 @@
 		m.cfg.Log.Error("cannot create a connection to the leader", "error", err)
 		return
 	}
+	sent := m.cfg.Now()
 	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
 	defer cancel()
 	reply, err := inner.NewLeadClient(conn).Probe(ctx, &inner.ProbeRequest{
@@ -84,13 +85,15 @@
 			m.wakeUp()
 		}
 	case err == nil:
-		p.refused, m.suspicion.refusedSince = 0, 0
+		p.refused, m.suspicion.refusedSince, m.suspicion.unansweredSince = 0, 0, 0
 	case status.Code(err) == codes.Unavailable && m.cfg.Mesh.Refused(address):
 		p.refused++
 		if p.refused >= refusedProbesThreshold && m.suspicion.refusedSince == 0 {
 			m.suspicion.refusedSince = now
 			m.wakeUp()
 		}
+	case m.suspicion.unansweredSince == 0:
+		m.suspicion.unansweredSince = sent
 	}
 }
 
