A new leader waits for its workers before it preempts or splits racks

Cause: at the start of a term the planner knows only the workers that have reported to it. Work bound to the rack of its data or its gang could be spread the same way. Change: until no worker has reported for the first time for 150 ms, and for one second at most, nothing is preempted, and units that depend on racks wait. All others are placed at once.

--- a/internal/core/plan/decide.go
+++ b/internal/core/plan/decide.go
@@ -19,6 +19,7 @@
 // BatchStored and Orders. It reports whether it placed anything.
 func (p *Planner) Decide(now time.Duration, wall time.Time) bool {
 	p.wall = wall
+	p.updateSettled(now)
 	p.removeSettled(wall)
 	for _, j := range p.active {
 		p.materialize(now, wall, j)
@@ -67,6 +68,9 @@
 // place assigns the unit to workers, preempting other runs if necessary, and
 // reports whether it did.
 func (p *Planner) place(now time.Duration, u unit) bool {
+	if p.mustSettle(u) {
+		return false
+	}
 	if p.anyFree(u) {
 		if chosen := p.fit(now, u, p.available(now, u)); chosen != nil {
 			p.assign(now, u, chosen)
--- a/internal/core/plan/plan.go
+++ b/internal/core/plan/plan.go
@@ -41,6 +41,9 @@
 	// ClaimedAt is the time of the claim, and Wall the same time by the wall clock.
 	ClaimedAt time.Duration
 	Wall      time.Time
+	// SettleLimit bounds the time after the claim in which workers are still expected to
+	// report for the first time; zero means that none are.
+	SettleLimit time.Duration
 	// Retention is how long an ended job is retained.
 	Retention time.Duration
 	// RemoteSlowdown is the factor by which a task takes longer away from its data or
@@ -90,6 +93,10 @@
 	reservations int
 	// capacities caches the capacity of each service in the current round.
 	capacities map[string]chestnutpond.Resources
+	// lastJoined is when a worker last reported for the first time, and settled means
+	// that the workers that were there at the claim have reported.
+	lastJoined time.Duration
+	settled    bool
 	// lastInspection is when the progress of all runs was last inspected.
 	lastInspection time.Duration
 	// wall is the wall-clock time of the last call of Decide.
--- a/internal/core/plan/preempt.go
+++ b/internal/core/plan/preempt.go
@@ -26,7 +26,8 @@
 	guaranteed := p.guaranteed(u)
 	slack := p.slack(u)
 	urgent := u.job().graph.Queue.Priority == 0 && (guaranteed || slack >= 0)
-	if !urgent {
+	if !urgent || !p.settled {
+		// Workers that have not reported yet may have free capacity.
 		p.reserveEarliest(now, u)
 		return false
 	}
--- a/internal/core/plan/report.go
+++ b/internal/core/plan/report.go
@@ -45,6 +45,7 @@
 		if !w.listed {
 			w.listed = true
 			w.version++
+			p.recordJoined(now)
 		}
 		p.reconcile(now, w, rep)
 	}
--- a/internal/node/lead/claim.go
+++ b/internal/node/lead/claim.go
@@ -33,6 +33,9 @@
 	// fewAgentsTimeout is how long far fewer agents may report to the leader than
 	// to another entry. All agents report to a new leader within a second.
 	fewAgentsTimeout = 2 * time.Second
+	// settleLimit bounds the time after a claim in which agents are still expected to
+	// report to the new leader for the first time.
+	settleLimit = time.Second
 	// claimTimeout bounds the calls of one claim.
 	claimTimeout = 3 * time.Second
 	// indirectPenalty is the additional delay of an entry that reaches the store
@@ -289,7 +292,7 @@
 	now := m.cfg.Now()
 	planner := plan.New(plan.Config{
 		Epoch: epoch, Lease: m.cfg.Lease, FormerGrantPeriod: grants, ClaimedAt: now, Wall: m.cfg.WallClock(), Retention: m.cfg.Retention,
-		RemoteSlowdown: m.cfg.RemoteSlowdown, RestoreTime: m.cfg.RestoreTime,
+		RemoteSlowdown: m.cfg.RemoteSlowdown, RestoreTime: m.cfg.RestoreTime, SettleLimit: settleLimit,
 	})
 	planner.SetDocument(m.document)
 	var jobs []*graph.Job
