Odd messages and panics end one call, record or round, not the process

Change: obs/guard contains panics, logs them with the stack and counts them in panics_total. A feed passes records one by one after a panic and skips the culprit; a round that panics ends the term, and its state comes from the store again; a job that cannot be loaded is skipped. An entry whose record is overwritten registers again; others keep its last valid address. Ruled out: skipping malformed rows in a worker's run lists, because a run that is missing there would be taken as gone. HTTP handlers were contained already: net/http ends the one connection.

--- a/graph.go
+++ b/graph.go
@@ -195,8 +195,8 @@
 // Check validates the graph and returns an error that describes the first invalid
 // field.
 func (g *Graph) Check() error {
-	if len(g.Steps) == 0 {
-		return Error.New("steps: none; at least one is needed")
+	if len(g.Steps) == 0 || len(g.Steps) > MaxSteps {
+		return Error.New("%d steps; allowed are 1 to %d", len(g.Steps), MaxSteps)
 	}
 	for i := range g.Steps {
 		if err := g.Steps[i].check(i); err != nil {
@@ -206,11 +206,34 @@
 	if g.Schedule.Repetitions < 0 || g.Schedule.Every < 0 {
 		return Error.New("schedule: negative repetitions or interval")
 	}
+	if g.Schedule.Repetitions > MaxRepetitions {
+		return Error.New("schedule: %d repetitions; allowed are at most %d", g.Schedule.Repetitions, MaxRepetitions)
+	}
+	tasks := 0
+	for i := range g.Steps {
+		tasks += g.Steps[i].Count
+	}
+	if total := tasks * g.Occurrences(); total > MaxTotalTasks {
+		return Error.New("%d tasks in all steps and repetitions; allowed are at most %d", total, MaxTotalTasks)
+	}
 	return nil
 }
 
-// MaxTasks is the maximum number of tasks of one step.
-const MaxTasks = 4096
+// Limits of a graph. An entry keeps each task of an accepted job in memory.
+const (
+	// MaxTasks is the maximum number of tasks of one step.
+	MaxTasks = 4096
+	// MaxSteps is the maximum number of steps.
+	MaxSteps = 256
+	// MaxRepetitions is the maximum number of occurrences of a scheduled job.
+	MaxRepetitions = 10_000
+	// MaxTotalTasks is the maximum number of tasks of all steps and occurrences.
+	MaxTotalTasks = 100_000
+	// maxNeed bounds each dimension of a task's needs, so that sums do not overflow.
+	maxNeed = 1 << 40
+	// maxEstimate bounds the durations in a step.
+	maxEstimate = 365 * 24 * time.Hour
+)
 
 func (s *Step) check(number int) error {
 	switch {
@@ -218,8 +241,12 @@
 		return fmt.Errorf("count is %d; allowed are 1 to %d", s.Count, MaxTasks)
 	case s.Need.CPU < 0 || s.Need.Memory < 0 || s.Need.Accelerators < 0:
 		return fmt.Errorf("a need is negative")
+	case s.Need.CPU > maxNeed || s.Need.Memory > maxNeed || s.Need.Accelerators > maxNeed:
+		return fmt.Errorf("a need exceeds %d", int64(maxNeed))
 	case s.PerWorker < 0 || s.MaxUnavailable < 0 || s.Estimate < 0:
 		return fmt.Errorf("a limit or estimate is negative")
+	case s.Estimate > maxEstimate || s.TailLatency > maxEstimate:
+		return fmt.Errorf("estimate or tail latency exceeds %s", maxEstimate)
 	}
 	for _, a := range s.After {
 		if a < 0 || a >= number {
--- a/internal/core/graph/graph.go
+++ b/internal/core/graph/graph.go
@@ -190,6 +190,10 @@
 		t.malformed++
 		return Error.New("record at offset %d: decode CededRecord: %v", r.Offset, err)
 	}
+	if err := checkEpoch(c.GetEpoch()); err != nil {
+		t.malformed++
+		return Error.New("record at offset %d: %v", r.Offset, err)
+	}
 	t.ceded = max(t.ceded, c.GetEpoch())
 	return nil
 }
@@ -203,6 +207,20 @@
 		t.malformed++
 		return Error.New("record at offset %d: decode LeaderRecord: %v", r.Offset, err)
 	}
+	if err := checkEpoch(l.GetEpoch()); err != nil {
+		t.malformed++
+		return Error.New("record at offset %d: %v", r.Offset, err)
+	}
 	t.leader = Leader{LeaderRecord: l, Offset: r.Offset}
 	return nil
 }
+
+// maxEpoch bounds the epochs of leaders. Fencing tokens are multiples of them.
+const maxEpoch = 1 << 40
+
+func checkEpoch(epoch int64) error {
+	if epoch < 1 || epoch > maxEpoch {
+		return Error.New("epoch is %d; allowed are 1 to %d", epoch, int64(maxEpoch))
+	}
+	return nil
+}
--- a/internal/node/agent/agent.go
+++ b/internal/node/agent/agent.go
@@ -37,6 +37,7 @@
 	"github.com/chestnutpond/chestnutpond/internal/core/slots"
 	"github.com/chestnutpond/chestnutpond/internal/node/links"
 	"github.com/chestnutpond/chestnutpond/internal/obs/events"
+	"github.com/chestnutpond/chestnutpond/internal/obs/guard"
 	"github.com/chestnutpond/chestnutpond/internal/obs/stats"
 	"github.com/chestnutpond/chestnutpond/internal/wire/inner"
 )
@@ -149,7 +150,7 @@
 	a := newAgent(cfg, dialer{links.New(cfg.ClientTLS)})
 	a.listener = listener
 	a.address = listener.Addr().String()
-	a.server = newServer(cfg.ServerTLS)
+	a.server = newServer(cfg.ServerTLS, guard.New(guard.Config{Log: cfg.Log, Metrics: cfg.Metrics}))
 	inner.RegisterAgentServer(a.server, &service{agent: a})
 	return a, nil
 }
--- a/internal/node/agent/run.go
+++ b/internal/node/agent/run.go
@@ -13,6 +13,7 @@
 	"github.com/chestnutpond/chestnutpond"
 	"github.com/chestnutpond/chestnutpond/internal/core/slots"
 	"github.com/chestnutpond/chestnutpond/internal/node/links"
+	"github.com/chestnutpond/chestnutpond/internal/obs/guard"
 	"github.com/chestnutpond/chestnutpond/internal/wire/conns"
 )
 
@@ -35,8 +36,9 @@
 	keepaliveTimeout = 5 * time.Second
 )
 
-func newServer(cfg *tls.Config) *grpc.Server {
-	options := append(conns.ServerOptions(),
+func newServer(cfg *tls.Config, contained *guard.Guard) *grpc.Server {
+	options := append(conns.ServerOptions(), contained.ServerOptions()...)
+	options = append(options,
 		grpc.MaxRecvMsgSize(links.MaxMessage),
 		grpc.MaxSendMsgSize(links.MaxMessage),
 		grpc.KeepaliveParams(keepalive.ServerParameters{Time: keepaliveTime, Timeout: keepaliveTimeout}),
--- a/internal/node/entry/entry.go
+++ b/internal/node/entry/entry.go
@@ -24,6 +24,7 @@
 	"github.com/chestnutpond/chestnutpond/internal/node/serve"
 	"github.com/chestnutpond/chestnutpond/internal/node/tail"
 	"github.com/chestnutpond/chestnutpond/internal/obs/events"
+	"github.com/chestnutpond/chestnutpond/internal/obs/guard"
 	"github.com/chestnutpond/chestnutpond/internal/obs/slogs"
 	"github.com/chestnutpond/chestnutpond/internal/obs/stats"
 	"github.com/chestnutpond/chestnutpond/internal/wire/conns"
@@ -247,7 +248,9 @@
 }
 
 func (e *Entry) addInnerServer(actors *run.Group) {
-	options := append(conns.ServerOptions(),
+	contained := guard.New(guard.Config{Log: e.cfg.Logs.Logger("guard"), Metrics: e.cfg.Metrics})
+	options := append(conns.ServerOptions(), contained.ServerOptions()...)
+	options = append(options,
 		grpc.MaxRecvMsgSize(maxInnerMessage), grpc.MaxSendMsgSize(maxInnerMessage),
 		// Keepalive pings also close dead Announce streams, which an agent leaves
 		// behind each time that it reconnects.
--- a/internal/node/feed/feed.go
+++ b/internal/node/feed/feed.go
@@ -17,6 +17,7 @@
 	"github.com/zeebo/errs"
 
 	"github.com/chestnutpond/chestnutpond"
+	"github.com/chestnutpond/chestnutpond/internal/obs/guard"
 )
 
 // Error is the error class of this package.
@@ -56,6 +57,8 @@
 	Wait time.Duration
 	Now  func() time.Duration
 	Log  *slog.Logger
+	// Guard contains panics of the receiver.
+	Guard *guard.Guard
 }
 
 // Feed is a subscription to a topic. It is safe for concurrent use.
@@ -206,7 +209,7 @@
 		if end < 0 {
 			end = page.End
 		}
-		f.cfg.Receiver.Apply(page.Records)
+		f.apply(page.Records)
 		if !page.More || len(page.Records) == 0 {
 			break
 		}
@@ -244,7 +247,7 @@
 	}
 	end := next + int64(len(batch.Records))
 	if len(batch.Records) > 0 {
-		f.cfg.Receiver.Apply(batch.Records)
+		f.apply(batch.Records)
 		f.cfg.Receiver.Loaded(end)
 	}
 	if end < batch.End {
@@ -255,6 +258,18 @@
 	return nil
 }
 
+// apply passes records to the receiver. If it panics, it gets the records once more one
+// by one, and those that make it panic are skipped.
+func (f *Feed) apply(records []chestnutpond.KeyedRecord) {
+	if f.cfg.Guard.Run(func() { f.cfg.Receiver.Apply(records) }, "topic", f.cfg.Topic, "records", len(records)) {
+		return
+	}
+	for i, r := range records {
+		one := records[i : i+1]
+		f.cfg.Guard.Run(func() { f.cfg.Receiver.Apply(one) }, "topic", f.cfg.Topic, "record", r.Key, "offset", r.Offset)
+	}
+}
+
 // recordSuccess updates the status after a read that was sent at began and that applied
 // all records before next.
 func (f *Feed) recordSuccess(began time.Duration, next int64) {
--- /dev/null
+++ b/internal/node/feed/feed_test.go
@@ -0,0 +1,82 @@
+package feed_test
+
+import (
+	"context"
+	"log/slog"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/chestnutpond/chestnutpond"
+	"github.com/chestnutpond/chestnutpond/internal/node/feed"
+	"github.com/chestnutpond/chestnutpond/internal/obs/guard"
+	"github.com/chestnutpond/chestnutpond/internal/obs/stats"
+	"github.com/chestnutpond/chestnutpond/internal/test/stand"
+)
+
+// oddKey is the key of the record that makes the receiver panic.
+const oddKey = "odd"
+
+// receiver keeps the values of keys and panics on one of them.
+type receiver struct {
+	values map[string]string
+	next   int64
+}
+
+func (r *receiver) Apply(records []chestnutpond.KeyedRecord) {
+	for _, record := range records {
+		if record.Key == oddKey {
+			panic("odd record")
+		}
+		r.values[record.Key] = string(record.Value)
+	}
+}
+
+func (r *receiver) Loaded(next int64) { r.next = next }
+
+// Guards against one record that ends every process that reads it, or keeps it from the
+// records that follow.
+func TestRecordThatPanics(t *testing.T) {
+	records := []chestnutpond.KeyedRecord{
+		{Key: "a", Value: []byte("1")},
+		{Key: oddKey, Value: []byte("?")},
+		{Key: "z", Value: []byte("2")},
+	}
+	for name, loaded := range map[string]bool{"while it is loaded": false, "while it is followed": true} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				store := stand.NewKeyedStore()
+				r := &receiver{values: map[string]string{}}
+				registry := stats.New()
+				began := time.Now()
+				f := feed.New(feed.Config{
+					Store: store, Topic: chestnutpond.TopicEntries, Receiver: r,
+					Now: func() time.Duration { return time.Since(began) + 1 },
+					Log: slog.New(slog.DiscardHandler),
+					Guard: guard.New(guard.Config{
+						Log: slog.New(slog.DiscardHandler), Metrics: registry,
+					}),
+				})
+				ctx, stop := context.WithCancel(t.Context())
+				done := make(chan error, 1)
+				if loaded {
+					go func() { done <- f.Run(ctx) }()
+					synctest.Wait()
+				}
+				_, err := store.Append(ctx, chestnutpond.TopicEntries, chestnutpond.KeyedAppend{Records: records})
+				assert.NilError(t, err)
+				if !loaded {
+					go func() { done <- f.Run(ctx) }()
+				}
+				time.Sleep(time.Second)
+				assert.DeepEqual(t, r.values, map[string]string{"a": "1", "z": "2"})
+				assert.Equal(t, r.next, int64(3))
+				assert.Assert(t, registry.Counter("panics_total", "").Count() > 0)
+				stop()
+				assert.NilError(t, <-done)
+			})
+		})
+	}
+}
--- a/internal/node/fleet/agent.go
+++ b/internal/node/fleet/agent.go
@@ -20,6 +20,9 @@
 
 	// Runner runs tasks on the worker.
 	Runner chestnutpond.TaskRunner
+	// Service is the worker's service. Reports of workers of other services are refused;
+	// empty means that none are.
+	Service string
 }
 
 // Agent is the sidecar process of a worker.
@@ -33,7 +36,7 @@
 func NewAgent(c AgentConfig) *Agent {
 	a := &Agent{process: newProcess(c.Base, func() []string { return nil })}
 	a.side = runner.New(runner.Config{
-		Name: c.Name, Boot: a.boot, Zone: c.Zone, Region: c.Region, Address: c.Address,
+		Name: c.Name, Service: c.Service, Boot: a.boot, Zone: c.Zone, Region: c.Region, Address: c.Address,
 		Runner: c.Runner, Mesh: a.mesh, Roster: a.roster, Now: c.Now, Log: c.Logs.Logger("agent"), Lease: c.Lease,
 		Metrics: a.base.Metrics,
 	})
--- a/internal/node/fleet/entry.go
+++ b/internal/node/fleet/entry.go
@@ -64,11 +64,11 @@
 		Self: e.row, Boot: e.boot, Store: e.store, Mesh: e.mesh, Roster: e.roster, Direct: e.store.DirectAvailable,
 		Now: c.Now, WallClock: c.Wall, Log: c.Logs.Logger("lead"),
 		Lease: c.Lease, Retention: c.Retention, RemoteSlowdown: c.RemoteSlowdown, RestoreTime: c.RestoreTime, Metrics: e.base.Metrics,
-		Adviser: c.Adviser,
+		Adviser: c.Adviser, Guard: e.guard,
 	})
 	e.front = jobsvc.New(jobsvc.Config{
 		Store: e.store, StoreLatency: e.store.Health, Lead: e.manager, ParseDocument: c.ParseDocument, Now: c.Now, WallClock: c.Wall,
-		Log: c.Logs.Logger("front"), Metrics: e.base.Metrics,
+		Log: c.Logs.Logger("front"), Metrics: e.base.Metrics, Guard: e.guard,
 	})
 	e.addAgeGauge(chestnutpond.TopicWork, e.manager.Feed())
 	e.addAgeGauge(chestnutpond.TopicDesired, e.front.Feed())
@@ -125,7 +125,7 @@
 	}
 	for ctx.Err() == nil {
 		wait := registerInterval
-		if e.roster.Address(e.row.GetName()) != e.row.GetAddress() {
+		if !e.roster.Registered(e.row.GetName(), e.row.GetAddress()) {
 			offset, err := e.store.Append(ctx, chestnutpond.TopicEntries, chestnutpond.KeyedAppend{
 				Records: []chestnutpond.KeyedRecord{record},
 			})
--- a/internal/node/fleet/fleet.go
+++ b/internal/node/fleet/fleet.go
@@ -23,6 +23,7 @@
 	"github.com/chestnutpond/chestnutpond/internal/node/mesh"
 	"github.com/chestnutpond/chestnutpond/internal/node/relay"
 	"github.com/chestnutpond/chestnutpond/internal/node/roster"
+	"github.com/chestnutpond/chestnutpond/internal/obs/guard"
 	"github.com/chestnutpond/chestnutpond/internal/obs/slogs"
 	"github.com/chestnutpond/chestnutpond/internal/obs/stats"
 	"github.com/chestnutpond/chestnutpond/internal/wire/conns"
@@ -47,10 +48,10 @@
 	Entries []string
 	// Direct is the process's direct connection to the store.
 	Direct chestnutpond.Store
-	// Listener accepts connections of the inner protocol.
 	// Recheck is a second connection to the store, for checks whether it responds again
 	// after an outage; nil means Direct.
 	Recheck chestnutpond.Store
+	// Listener accepts connections of the inner protocol.
 	Listener net.Listener
 	// Dial opens connections of the inner protocol; nil means TCP.
 	Dial func(ctx context.Context, address string) (net.Conn, error)
@@ -66,6 +67,7 @@
 // process has the parts that both processes share.
 type process struct {
 	base   Base
+	guard  *guard.Guard
 	boot   string
 	mesh   *mesh.Mesh
 	roster *roster.Roster
@@ -79,9 +81,11 @@
 	if b.Metrics == nil {
 		b.Metrics = stats.New()
 	}
+	g := guard.New(guard.Config{Log: b.Logs.Logger("guard"), Metrics: b.Metrics})
 	p := &process{
-		base: b, boot: newBootID(), mesh: mesh.New(mesh.Config{Dial: b.Dial}), roster: roster.New(b.Name, b.Entries),
-		server: grpc.NewServer(conns.ServerOptions()...),
+		base: b, guard: g, boot: newBootID(), mesh: mesh.New(mesh.Config{Dial: b.Dial}),
+		roster: roster.New(roster.Config{Self: b.Name, Seeds: b.Entries, Log: b.Logs.Logger("roster")}),
+		server: grpc.NewServer(append(conns.ServerOptions(), g.ServerOptions()...)...),
 	}
 	p.store = relay.New(relay.Config{
 		Direct: b.Direct, Recheck: b.Recheck, Mesh: p.mesh, Now: b.Now, Log: b.Logs.Logger("store"), Metrics: b.Metrics,
@@ -109,7 +113,7 @@
 func (p *process) entriesFeed() *feed.Feed {
 	f := feed.New(feed.Config{
 		Store: p.store, Topic: chestnutpond.TopicEntries, Receiver: p.roster, Wait: rosterReadWait, Now: p.base.Now,
-		Log: p.base.Logs.Logger("roster"),
+		Log: p.base.Logs.Logger("roster"), Guard: p.guard,
 	})
 	p.addAgeGauge(chestnutpond.TopicEntries, f)
 	return f
--- a/internal/node/jobsvc/jobsvc.go
+++ b/internal/node/jobsvc/jobsvc.go
@@ -20,6 +20,7 @@
 	"github.com/chestnutpond/chestnutpond/internal/core/graph"
 	"github.com/chestnutpond/chestnutpond/internal/node/feed"
 	"github.com/chestnutpond/chestnutpond/internal/node/lead"
+	"github.com/chestnutpond/chestnutpond/internal/obs/guard"
 	"github.com/chestnutpond/chestnutpond/internal/obs/stats"
 )
 
@@ -69,6 +70,8 @@
 	Log           *slog.Logger
 	// Metrics receives the time that it takes to store records.
 	Metrics *stats.Registry
+	// Guard contains panics.
+	Guard *guard.Guard
 }
 
 // Service implements chestnutpond.GraphService for an entry. It is safe for concurrent use.
@@ -98,7 +101,7 @@
 		storeSeconds: c.Metrics.Seconds("front_store_seconds", "Time from a client's call until its record was stored."),
 	}
 	f.feed = feed.New(feed.Config{
-		Store: c.Store, Topic: chestnutpond.TopicDesired, Receiver: f, Now: c.Now, Log: c.Log,
+		Store: c.Store, Topic: chestnutpond.TopicDesired, Receiver: f, Now: c.Now, Log: c.Log, Guard: c.Guard,
 	})
 	return f
 }
--- a/internal/node/lead/claim.go
+++ b/internal/node/lead/claim.go
@@ -301,7 +301,7 @@
 		return a.Graph.Accepted.Compare(b.Graph.Accepted)
 	})
 	for _, j := range jobs {
-		planner.Load(j)
+		m.cfg.Guard.Run(func() { planner.Load(j) }, "job", j.ID)
 	}
 	m.term = &term{
 		epoch: epoch, nonce: nonce, planner: planner, sequence: sequence, confirmedAt: now,
--- a/internal/node/lead/lead.go
+++ b/internal/node/lead/lead.go
@@ -27,6 +27,7 @@
 	"github.com/chestnutpond/chestnutpond/internal/node/feed"
 	"github.com/chestnutpond/chestnutpond/internal/node/mesh"
 	"github.com/chestnutpond/chestnutpond/internal/node/roster"
+	"github.com/chestnutpond/chestnutpond/internal/obs/guard"
 	"github.com/chestnutpond/chestnutpond/internal/obs/stats"
 	"github.com/chestnutpond/chestnutpond/internal/wire/inner"
 )
@@ -69,6 +70,8 @@
 	Metrics *stats.Registry
 	// Adviser is nil if no queue needs advice.
 	Adviser chestnutpond.Adviser
+	// Guard contains panics.
+	Guard *guard.Guard
 }
 
 // Manager follows the work topic, and leads while this entry has the newest claim.
@@ -111,7 +114,7 @@
 		watches: map[chestnutpond.JobID]chan struct{}{},
 	}
 	m.feed = feed.New(feed.Config{
-		Store: c.Store, Topic: chestnutpond.TopicWork, Receiver: m, Now: c.Now, Log: c.Log,
+		Store: c.Store, Topic: chestnutpond.TopicWork, Receiver: m, Now: c.Now, Log: c.Log, Guard: c.Guard,
 	})
 	return m
 }
--- a/internal/node/lead/term.go
+++ b/internal/node/lead/term.go
@@ -97,24 +97,37 @@
 	maxRoundPause = 50 * time.Millisecond
 )
 
-// runRound runs one round of the term: it makes scheduling decisions, stores the
-// changes and sends out the orders.
+// failedRoundPause is how long an entry waits after a round that panicked. Another entry
+// has claimed by then.
+const failedRoundPause = 3 * time.Second
+
+// runRound runs one round of the term. A round that panics ends the term, because its
+// planner may be inconsistent; the state of the next one comes from the store.
 func (m *Manager) runRound(ctx context.Context) {
-	now, wall := m.cfg.Now(), m.cfg.WallClock()
+	if m.cfg.Guard.Run(func() { m.round(ctx) }) {
+		return
+	}
 	m.mu.Lock()
-	t := m.term
+	m.stepDown("a round failed")
+	m.mu.Unlock()
+	pause(ctx, failedRoundPause)
+}
+
+// pause waits for the given time or until the context ends.
+func pause(ctx context.Context, d time.Duration) {
+	select {
+	case <-ctx.Done():
+	case <-time.After(d):
+	}
+}
+
+// round makes scheduling decisions, stores the changes and sends out the orders.
+func (m *Manager) round(ctx context.Context) {
+	now, wall := m.cfg.Now(), m.cfg.WallClock()
+	t, batch, notes, err := m.decide(now, wall)
 	if t == nil {
-		m.mu.Unlock()
 		return
 	}
-	t.planner.ExpireLeases(now)
-	t.planner.Decide(now, wall)
-	batch, err := t.planner.TakeBatch(wall)
-	notes := t.planner.Notes()
-	m.meters.setCounts(t.planner.Counts(now))
-	m.meters.agents.Update(int64(m.reportingAgents()))
-	m.wakeChangedStreams()
-	m.mu.Unlock()
 	took := m.since(now)
 	m.meters.decide.Observe(took)
 	m.signalAdvice()
@@ -127,16 +140,37 @@
 		m.loseTerm(ctx, t, err)
 		return
 	}
+	m.batchStored(t, batch)
+	pause(ctx, min(roundPauseFactor*took, maxRoundPause))
+}
+
+// decide makes the decisions of a round and returns what is to be stored and logged. The
+// term is nil if this entry does not lead.
+func (m *Manager) decide(now time.Duration, wall time.Time) (*term, plan.Batch, []plan.Note, error) {
 	m.mu.Lock()
+	defer m.mu.Unlock()
+	t := m.term
+	if t == nil {
+		return nil, plan.Batch{}, nil, nil
+	}
+	t.planner.ExpireLeases(now)
+	t.planner.Decide(now, wall)
+	batch, err := t.planner.TakeBatch(wall)
+	notes := t.planner.Notes()
+	m.meters.setCounts(t.planner.Counts(now))
+	m.meters.agents.Update(int64(m.reportingAgents()))
+	m.wakeChangedStreams()
+	return t, batch, notes, err
+}
+
+// batchStored has the orders of a stored batch sent out.
+func (m *Manager) batchStored(t *term, batch plan.Batch) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
 	if m.term == t {
 		t.planner.BatchStored(batch)
 		m.wakeChangedStreams()
 	}
-	m.mu.Unlock()
-	select {
-	case <-ctx.Done():
-	case <-time.After(min(roundPauseFactor*took, maxRoundPause)):
-	}
 }
 
 // storeRecords appends the records, and the leader record when a heartbeat is due.
--- a/internal/node/roster/roster.go
+++ b/internal/node/roster/roster.go
@@ -8,18 +8,36 @@
 
 import (
 	"cmp"
+	"log/slog"
 	"slices"
 	"sync"
 
+	"github.com/zeebo/errs"
 	"google.golang.org/protobuf/proto"
 
 	"github.com/chestnutpond/chestnutpond"
 	"github.com/chestnutpond/chestnutpond/internal/wire/inner"
 )
 
+// Error is the class of this package's errors.
+var Error = errs.Class("roster")
+
+// MaxEntries is the maximum number of known entries; further ones are ignored.
+const MaxEntries = 1024
+
+// Config configures a Roster.
+type Config struct {
+	// Self is the name of the process's own entry, which PeerAddresses omits; it is
+	// empty in an agent.
+	Self  string
+	Seeds []string
+	Log   *slog.Logger
+}
+
 // Roster is the set of known entries. It is safe for concurrent use.
 type Roster struct {
 	self string
+	log  *slog.Logger
 
 	mu    sync.Mutex
 	seeds []string
@@ -29,16 +47,20 @@
 	version int64
 }
 
+// entry is a known entry with the offset of the newest record of its key, or -1 if it was
+// received from another process.
 type entry struct {
 	*inner.EntryRow
 
 	offset int64
+	// overwritten means that the newest record of its key is not a valid registration.
+	// The row is that of the record before it.
+	overwritten bool
 }
 
-// New returns a roster with the given seeds. Self is the name of the process's own
-// entry, which PeerAddresses omits; it is empty in an agent.
-func New(self string, seeds []string) *Roster {
-	return &Roster{self: self, seeds: seeds, entries: map[string]entry{}}
+// New returns a roster of the given seeds.
+func New(c Config) *Roster {
+	return &Roster{self: c.Self, log: c.Log, seeds: c.Seeds, entries: map[string]entry{}}
 }
 
 // Record encodes the store record that registers an entry.
@@ -52,20 +74,45 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	for _, rec := range records {
-		current, ok := r.entries[rec.Key]
-		if ok && current.offset >= rec.Offset {
-			continue
-		}
-		e := &inner.EntryRow{}
-		if len(rec.Value) == 0 || proto.Unmarshal(rec.Value, e) != nil || e.GetAddress() == "" {
-			// The entry was removed, or the record is not a valid registration.
-			delete(r.entries, rec.Key)
-			r.version++
-			continue
-		}
-		r.entries[rec.Key] = entry{e, rec.Offset}
+		r.apply(rec)
+	}
+}
+
+// apply applies a record. The lock is held.
+func (r *Roster) apply(rec chestnutpond.KeyedRecord) {
+	current, ok := r.entries[rec.Key]
+	if ok && current.offset >= rec.Offset {
+		return
+	}
+	if len(rec.Value) == 0 {
+		delete(r.entries, rec.Key)
 		r.version++
+		return
+	}
+	e := &inner.EntryRow{}
+	err := proto.Unmarshal(rec.Value, e)
+	if err == nil && !chestnutpond.ValidAddress(e.GetAddress()) {
+		err = Error.New("address is %.80q; want host:port with a port from 1 to 65535", e.GetAddress())
 	}
+	if err != nil {
+		r.log.Warn("skipping invalid record", "offset", rec.Offset, "entry", rec.Key, "error", err)
+		if ok {
+			current.offset, current.overwritten = rec.Offset, true
+			r.entries[rec.Key] = current
+		}
+		return
+	}
+	r.put(rec.Key, entry{EntryRow: e, offset: rec.Offset})
+}
+
+// put adds or replaces an entry. The lock is held.
+func (r *Roster) put(name string, e entry) {
+	if _, known := r.entries[name]; !known && len(r.entries) >= MaxEntries {
+		r.log.Warn("ignoring entry: too many are known", "entry", name, "limit", MaxEntries)
+		return
+	}
+	r.entries[name] = e
+	r.version++
 }
 
 // Loaded implements feed.Receiver.
@@ -77,11 +124,14 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	for _, e := range entries {
+		if e.GetName() == "" || !chestnutpond.ValidAddress(e.GetAddress()) {
+			r.log.Warn("skipping invalid entry of another process", "entry", e.GetName(), "address", e.GetAddress())
+			continue
+		}
 		if current, ok := r.entries[e.GetName()]; ok && (current.offset >= 0 || current.GetAddress() == e.GetAddress()) {
 			continue
 		}
-		r.entries[e.GetName()] = entry{e, -1}
-		r.version++
+		r.put(e.GetName(), entry{EntryRow: e, offset: -1})
 	}
 }
 
@@ -115,6 +165,14 @@
 	return all
 }
 
+// Registered reports whether the newest record of an entry in the store has the address.
+func (r *Roster) Registered(name, address string) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	e, ok := r.entries[name]
+	return ok && e.offset >= 0 && !e.overwritten && e.GetAddress() == address
+}
+
 // Address returns the address of an entry, or the empty string if it is unknown.
 func (r *Roster) Address(name string) string {
 	r.mu.Lock()
--- a/internal/node/runner/runner.go
+++ b/internal/node/runner/runner.go
@@ -54,10 +54,12 @@
 
 // Config configures an Agent.
 type Config struct {
-	Name   string
-	Boot   string
-	Zone   string
-	Region string
+	Name string
+	// Service is the worker's service; empty means any.
+	Service string
+	Boot    string
+	Zone    string
+	Region  string
 	// Address is where the agent serves the inner protocol.
 	Address string
 	Runner  chestnutpond.TaskRunner
@@ -171,6 +173,10 @@
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	previous := a.worker
+	if a.cfg.Service != "" && info.Service != a.cfg.Service {
+		a.cfg.Log.Warn("report refused: another service", "worker", info.ID, "service", info.Service, "want", a.cfg.Service)
+		return false
+	}
 	if a.reported && (info.StartedMs < previous.StartedMs || info.Incarnation() == previous.Incarnation() && info.Sequence <= previous.Sequence) {
 		// The report is late, of this or a former incarnation.
 		return true
--- a/internal/test/world/world.go
+++ b/internal/test/world/world.go
@@ -48,6 +48,8 @@
 	Adviser chestnutpond.Adviser
 	// Out receives the logs; nil drops them.
 	Out io.Writer
+	// Wall is the entries' time of day; nil means that of the machine.
+	Wall func() time.Time
 }
 
 // World is a deployment.
@@ -95,6 +97,9 @@
 	if c.Out == nil {
 		c.Out = io.Discard
 	}
+	if c.Wall == nil {
+		c.Wall = time.Now
+	}
 	if c.Racks == 0 {
 		c.Racks = 1
 	}
@@ -172,7 +177,7 @@
 	defer e.mu.Unlock()
 	ctx, stop := context.WithCancel(w.ctx)
 	node := fleet.NewEntry(fleet.EntryConfig{
-		Base: w.base(e.Name, e.Way, w.net.listen(e.Name)), ParseDocument: w.parse, Wall: time.Now,
+		Base: w.base(e.Name, e.Way, w.net.listen(e.Name)), ParseDocument: w.parse, Wall: w.cfg.Wall,
 		Retention: 2 * time.Minute, RemoteSlowdown: 3, RestoreTime: 100 * time.Millisecond, Adviser: w.cfg.Adviser,
 	})
 	done := make(chan struct{})
@@ -235,7 +240,9 @@
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	ctx, stop := context.WithCancel(w.ctx)
-	node := fleet.NewAgent(fleet.AgentConfig{Base: w.base(a.Name, a.Way, w.net.listen(a.Name)), Runner: a.Worker})
+	node := fleet.NewAgent(fleet.AgentConfig{
+		Base: w.base(a.Name, a.Way, w.net.listen(a.Name)), Runner: a.Worker, Service: w.cfg.Service,
+	})
 	done := make(chan struct{})
 	a.node, a.stop, a.done = node, stop, done
 	r := &process{run: node.Run, done: done}
--- a/internal/tool/launch/fleet.go
+++ b/internal/tool/launch/fleet.go
@@ -233,7 +233,7 @@
 	}
 	defer p.close()
 	s := p.settings
-	a := fleet.NewAgent(fleet.AgentConfig{Base: p.base, Runner: platform.NewWorker(s.Worker)})
+	a := fleet.NewAgent(fleet.AgentConfig{Base: p.base, Runner: platform.NewWorker(s.Worker), Service: s.Service})
 	beats := platform.NewHeartbeats(a.Reports(), p.logs.Logger("agent"))
 	var g run.Group
 	addLoop(ctx, &g, a.Run)
