Ends of jobs are shown while the store takes no records

Cause: a job's end is shown once the leader's record is stored and read. Change: once an append of the leader is pending for 250 ms, its answers to the probes, which every entry sends each 0.2 s, name the jobs that have completed and are not stored. Entries show them as completed, and wake callers that wait. The leader does so only within the time in which it may grant leases. Nothing else is decided on such an end: no worker's end is acknowledged, and no next step begins before it is stored. A cancellation of such a job is stored as before. When it would be false to show it: if the leader and the worker are both lost before the store has the record, the work would be run again. So an entry that becomes leader takes over the completions that it has heard of; the workers that still live list the ends again in any case. What is left is the loss of the leader, of the worker, and a successor that no probe of the outage has reached. Entries drop the completions of a leader that another one has replaced.

--- a/internal/node/lead/probe.go
+++ b/internal/node/lead/probe.go
@@ -7,6 +7,7 @@
 	"google.golang.org/grpc/codes"
 	"google.golang.org/grpc/status"
 
+	"github.com/chestnutpond/chestnutpond"
 	"github.com/chestnutpond/chestnutpond/internal/wire/inner"
 )
 
@@ -50,6 +51,9 @@
 	m.mu.Lock()
 	leader := m.table.Leader()
 	leading := m.term != nil
+	if leading {
+		m.recordUnstored(m.term.epoch, m.unstored())
+	}
 	m.mu.Unlock()
 	if leading || leader.GetEpoch() == 0 || leader.GetReleased() || leader.GetEntry().GetName() == m.cfg.Self.GetName() {
 		return
@@ -86,6 +90,7 @@
 		}
 	case err == nil:
 		p.refused, m.suspicion.refusedSince, m.suspicion.unansweredSince = 0, 0, 0
+		m.recordUnstored(reply.GetEpoch(), jobIDs(reply.GetCompleted()))
 	case status.Code(err) == codes.Unavailable && m.cfg.Mesh.Refused(address):
 		p.refused++
 		if p.refused >= refusedProbesThreshold && m.suspicion.refusedSince == 0 {
@@ -101,8 +106,20 @@
 func (m *Manager) Probe(_ context.Context, _ *inner.ProbeRequest) (*inner.ProbeReply, error) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	return &inner.ProbeReply{
+	reply := &inner.ProbeReply{
 		Entry: m.cfg.Self.GetName(), Boot: m.cfg.Boot, Epoch: m.table.Leader().GetEpoch(),
 		Leads: m.term != nil, Agents: m.reportingAgents(),
-	}, nil
+	}
+	for _, id := range m.unstored() {
+		reply.Completed = append(reply.Completed, string(id))
+	}
+	return reply, nil
+}
+
+func jobIDs(names []string) []chestnutpond.JobID {
+	ids := make([]chestnutpond.JobID, 0, len(names))
+	for _, name := range names {
+		ids = append(ids, chestnutpond.JobID(name))
+	}
+	return ids
 }
--- a/internal/test/world/return_test.go
+++ b/internal/test/world/return_test.go
@@ -78,3 +78,47 @@
 		})
 	}
 }
+
+// endLimit is the time in which entries must show the end of a job while the store is away.
+const endLimit = 700 * time.Millisecond
+
+// Guards against a job whose end is shown only after the return of the store.
+func TestEndsAreShownWhileTheStoreIsAway(t *testing.T) {
+	play(t, 3*time.Second, func(t *testing.T, w *World) {
+		began := time.Now()
+		w.accept(t, w.Entries[0], jobID, tasks(20))
+		w.accept(t, w.Entries[0], "00000000000000a2", tasks(1))
+		w.running(t, 21)
+		w.setStoreSilent(true)
+		time.Sleep(2500*time.Millisecond - time.Since(began))
+		state, _ := w.Entries[0].State(jobID)
+		assert.Assert(t, !state.Final(), "%s", state)
+		assert.Assert(t, w.Ended(3200*time.Millisecond+endLimit-time.Since(began), jobID, chestnutpond.JobCompleted))
+		w.setStoreSilent(false)
+		time.Sleep(time.Second)
+		assert.Assert(t, w.Ended(endLimit, jobID, chestnutpond.JobCompleted))
+		w.startedOnce(t, jobID, 20)
+	})
+}
+
+// Guards against a job that is run again after it was shown as completed, because the leader
+// and the workers that had listed its end were lost before the store was back.
+func TestShownEndOutlivesLeaderAndWorkers(t *testing.T) {
+	play(t, 2*time.Second, func(t *testing.T, w *World) {
+		w.accept(t, w.Entries[0], jobID, tasks(8))
+		w.running(t, 8)
+		w.setStoreSilent(true)
+		time.Sleep(2 * time.Second)
+		assert.Assert(t, w.Ended(endLimit, jobID, chestnutpond.JobCompleted))
+		w.Leader().Kill()
+		for _, a := range w.Agents {
+			a.Worker.Restart()
+			a.Report()
+		}
+		w.setStoreSilent(false)
+		assert.Assert(t, w.Until(4*time.Second, func() bool { return w.Leader() != nil }), "no leader")
+		time.Sleep(2 * Lease)
+		assert.Assert(t, w.Ended(endLimit, jobID, chestnutpond.JobCompleted))
+		w.startedOnce(t, jobID, 8)
+	})
+}
