--- a/internal/node/roster/roster_test.go
+++ b/internal/node/roster/roster_test.go
@@ -61,8 +61,11 @@
 	r := roster.New(roster.Config{Log: slog.New(slog.DiscardHandler)})
 	r.Apply([]chestnutpond.KeyedRecord{record(t, 1, &inner.EntryRow{Name: "entry-1", Address: address})})
 	r.Merge([]*inner.EntryRow{
-		{Name: "entry-1", Address: "10.1.0.20:7000"}, {Name: "entry-2", Address: "10.1.0.21:7000"},
-		{Name: "entry-3", Address: "10.1.0.22:70000"}, {Name: "", Address: "10.1.0.23:7000"}, {Name: "entry-4"},
+		{Name: "entry-1", Address: "10.1.0.20:7000"},
+		{Name: "entry-2", Address: "10.1.0.21:7000"},
+		{Name: "entry-3", Address: "10.1.0.22:70000"},
+		{Name: "", Address: "10.1.0.23:7000"},
+		{Name: "entry-4"},
 	})
 	assert.Equal(t, r.Address("entry-1"), address)
 	assert.Equal(t, r.Address("entry-2"), "10.1.0.21:7000")
