--- a/internal/node/feed/feed_test.go
+++ b/internal/node/feed/feed_test.go
@@ -71,11 +71,11 @@
 					go func() { done <- f.Run(ctx) }()
 				}
 				time.Sleep(time.Second)
+				stop()
+				assert.NilError(t, <-done)
 				assert.DeepEqual(t, r.values, map[string]string{"a": "1", "z": "2"})
 				assert.Equal(t, r.next, int64(3))
 				assert.Assert(t, registry.Counter("panics_total", "").Count() > 0)
-				stop()
-				assert.NilError(t, <-done)
 			})
 		})
 	}
