--- a/internal/test/stand/keyed.go
+++ b/internal/test/stand/keyed.go
@@ -92,12 +92,22 @@
 
 func (t *keyedTopic) end() int64 { return t.first + int64(len(t.records)) }
 
+// SetDelay changes the time that a call takes while calls are made.
+func (s *KeyedStore) SetDelay(d time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.Delay = d
+}
+
 func (s *KeyedStore) pause(ctx context.Context) error {
-	if s.Delay > 0 {
+	s.mu.Lock()
+	delay := s.Delay
+	s.mu.Unlock()
+	if delay > 0 {
 		select {
 		case <-ctx.Done():
 			return &chestnutpond.StoreError{Fault: chestnutpond.StoreInDoubt, Err: ctx.Err()}
-		case <-time.After(s.Delay):
+		case <-time.After(delay):
 		}
 	}
 	s.mu.Lock()
--- a/internal/test/world/takeover_test.go
+++ b/internal/test/world/takeover_test.go
@@ -53,7 +53,7 @@
 func TestNoTakeoverFromAWorkingLeader(t *testing.T) {
 	faults := map[string]func(w *World, leader, other *Entry){
 		"cut off from one": func(w *World, leader, other *Entry) { w.net.cut(leader.Name, other.Name) },
-		"store slow":       func(w *World, _, _ *Entry) { w.Store.Delay = 200 * time.Millisecond },
+		"store slow":       func(w *World, _, _ *Entry) { w.Store.SetDelay(200 * time.Millisecond) },
 	}
 	for name, fault := range faults {
 		t.Run(name, func(t *testing.T) {
