Revert "Ends of jobs are shown while the store takes no records"

As long as a completion lives in memory only, there are failures that make it false to have shown it.

--- a/internal/core/plan/plan.go
+++ b/internal/core/plan/plan.go
@@ -82,8 +82,6 @@
 	sortedWorkers []*worker
 	// lastBatch is the number of the last batch.
 	lastBatch int64
-	// storedBatch is the number of the newest batch that is stored.
-	storedBatch int64
 	// stats has the statistics of the queues by name.
 	stats map[string]*queueStats
 	// predictions caches expected durations in the current round. It is cleared
@@ -161,25 +159,6 @@
 	return true
 }
 
-// Complete marks a job as completed. Its former leader knew the ends of all its tasks.
-func (p *Planner) Complete(now time.Duration, id chestnutpond.JobID) {
-	if j := p.jobs[id]; j != nil && !j.phase.Final() {
-		p.finish(now, j, chestnutpond.JobCompleted, "completed under the former leader")
-		p.checkSettled(now, j)
-	}
-}
-
-// Unstored returns the completed jobs whose state is not stored yet.
-func (p *Planner) Unstored() []chestnutpond.JobID {
-	var all []chestnutpond.JobID
-	for _, j := range p.active {
-		if j.phase == chestnutpond.JobCompleted && (j.dirty || j.batch > p.storedBatch) {
-			all = append(all, j.graph.ID)
-		}
-	}
-	return all
-}
-
 // activate inserts the job into the active jobs, in order of acceptance.
 func (p *Planner) activate(j *job) {
 	i, found := slices.BinarySearchFunc(p.active, j, compareJobs)
--- a/internal/core/plan/record.go
+++ b/internal/core/plan/record.go
@@ -77,7 +77,6 @@
 // BatchStored records that a batch is in the store. The starts in it then appear in
 // Orders, and its ended runs are acknowledged.
 func (p *Planner) BatchStored(b Batch) {
-	p.storedBatch = max(p.storedBatch, b.number)
 	for _, end := range b.applied {
 		if end.worker.life == end.life && end.worker.storedSeq < end.sequence {
 			end.worker.storedSeq = end.sequence
--- a/internal/node/jobsvc/jobsvc.go
+++ b/internal/node/jobsvc/jobsvc.go
@@ -346,7 +346,7 @@
 	if v.Outcome != chestnutpond.OutcomeAnswered {
 		return v
 	}
-	if view.State.Final() && !view.Unstored {
+	if view.State.Final() {
 		return verdict(chestnutpond.OutcomeCancelled, "")
 	}
 	record, err := graph.CancelRecord(id, f.cfg.WallClock())
--- a/internal/node/lead/claim.go
+++ b/internal/node/lead/claim.go
@@ -308,7 +308,6 @@
 		formerGrantsEnd: now + grants, earlierGrantsEnd: now + earlierGrants, lastHeartbeat: now, appendToken: make(chan struct{}, 1),
 	}
 	m.term.returnAppendToken()
-	m.adoptUnstored(now)
 	m.suspicion = suspicion{}
 	m.meters.termStarted(why)
 	m.cfg.Log.Info("term begins", "epoch", epoch, "reason", why, "jobs", len(jobs), "former_grants", grants)
--- a/internal/node/lead/lead.go
+++ b/internal/node/lead/lead.go
@@ -104,8 +104,6 @@
 	// watches has a channel for each job that a caller waits for. The channel is
 	// closed when a record of the job is applied.
 	watches map[chestnutpond.JobID]chan struct{}
-	// completed has the jobs whose completion the current leader could not store yet.
-	completed map[chestnutpond.JobID]bool
 }
 
 // New returns a manager that has not read any records.
@@ -113,7 +111,7 @@
 	m := &Manager{
 		cfg: c, wake: make(chan struct{}, 1), table: graph.New(), streams: map[string]*stream{},
 		meters: newMeters(c.Metrics), adviceWanted: make(chan struct{}, 1),
-		watches: map[chestnutpond.JobID]chan struct{}{}, completed: map[chestnutpond.JobID]bool{},
+		watches: map[chestnutpond.JobID]chan struct{}{},
 	}
 	m.feed = feed.New(feed.Config{
 		Store: c.Store, Topic: chestnutpond.TopicWork, Receiver: m, Now: c.Now, Log: c.Log, Guard: c.Guard,
@@ -147,9 +145,6 @@
 		}
 		if id != "" {
 			m.updatePlanner(m.table.Job(id))
-			if j := m.table.Job(id); j == nil || j.Phase().Final() {
-				delete(m.completed, id)
-			}
 			m.notifyWatch(id)
 		}
 	}
@@ -177,7 +172,6 @@
 // leaderChanged ends this entry's term if another entry has claimed.
 func (m *Manager) leaderChanged() {
 	m.suspicion = suspicion{}
-	m.forgetUnstored()
 	if m.term != nil && m.table.Leader().GetEpoch() > m.term.epoch {
 		m.stepDown("another entry has claimed")
 	}
@@ -224,8 +218,6 @@
 type JobView struct {
 	Account string
 	State   chestnutpond.JobState
-	// Unstored means that the job has completed and that the store lacks its state.
-	Unstored bool
 	// LongRunning means that the job runs until it is cancelled, or on a schedule.
 	LongRunning bool
 }
@@ -240,11 +232,7 @@
 	}
 	lasting := j.Graph.Schedule.Repetitions > 0 ||
 		slices.ContainsFunc(j.Graph.Steps, func(s chestnutpond.Step) bool { return s.Perpetual })
-	view := JobView{Account: j.Graph.Account, State: j.Phase(), LongRunning: lasting}
-	if m.completed[id] && !view.State.Final() {
-		view.State, view.Unstored = chestnutpond.JobCompleted, true
-	}
-	return view, true
+	return JobView{Account: j.Graph.Account, State: j.Phase(), LongRunning: lasting}, true
 }
 
 // maxWatches bounds the number of jobs that callers wait for at a time.
--- a/internal/node/lead/probe.go
+++ b/internal/node/lead/probe.go
@@ -7,7 +7,6 @@
 	"google.golang.org/grpc/codes"
 	"google.golang.org/grpc/status"
 
-	"github.com/chestnutpond/chestnutpond"
 	"github.com/chestnutpond/chestnutpond/internal/wire/inner"
 )
 
@@ -51,9 +50,6 @@
 	m.mu.Lock()
 	leader := m.table.Leader()
 	leading := m.term != nil
-	if leading {
-		m.recordUnstored(m.term.epoch, m.unstored())
-	}
 	m.mu.Unlock()
 	if leading || leader.GetEpoch() == 0 || leader.GetReleased() || leader.GetEntry().GetName() == m.cfg.Self.GetName() {
 		return
@@ -90,7 +86,6 @@
 		}
 	case err == nil:
 		p.refused, m.suspicion.refusedSince, m.suspicion.unansweredSince = 0, 0, 0
-		m.recordUnstored(reply.GetEpoch(), jobIDs(reply.GetCompleted()))
 	case status.Code(err) == codes.Unavailable && m.cfg.Mesh.Refused(address):
 		p.refused++
 		if p.refused >= refusedProbesThreshold && m.suspicion.refusedSince == 0 {
@@ -106,20 +101,8 @@
 func (m *Manager) Probe(_ context.Context, _ *inner.ProbeRequest) (*inner.ProbeReply, error) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	reply := &inner.ProbeReply{
+	return &inner.ProbeReply{
 		Entry: m.cfg.Self.GetName(), Boot: m.cfg.Boot, Epoch: m.table.Leader().GetEpoch(),
 		Leads: m.term != nil, Agents: m.reportingAgents(),
-	}
-	for _, id := range m.unstored() {
-		reply.Completed = append(reply.Completed, string(id))
-	}
-	return reply, nil
-}
-
-func jobIDs(names []string) []chestnutpond.JobID {
-	ids := make([]chestnutpond.JobID, 0, len(names))
-	for _, name := range names {
-		ids = append(ids, chestnutpond.JobID(name))
-	}
-	return ids
+	}, nil
 }
--- a/internal/node/lead/term.go
+++ b/internal/node/lead/term.go
@@ -40,9 +40,6 @@
 	// confirmedAt is when the newest call by which the store confirmed the claim
 	// was sent. It is guarded by the manager's lock.
 	confirmedAt time.Duration
-	// appendingSince is when the pending append began, or 0. It is guarded by the
-	// manager's lock.
-	appendingSince time.Duration
 }
 
 // returnAppendToken allows the next append.
@@ -195,8 +192,6 @@
 		return nil
 	}
 	began := m.cfg.Now()
-	m.setAppending(t, began)
-	defer m.setAppending(t, 0)
 	if err := t.append(ctx, m.cfg.Store, records); err != nil {
 		return err
 	}
@@ -205,13 +200,6 @@
 	return nil
 }
 
-// setAppending records when the pending append began.
-func (m *Manager) setAppending(t *term, since time.Duration) {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	t.appendingSince = since
-}
-
 // confirmClaim records that a call that was sent at the given time confirmed the
 // claim.
 func (m *Manager) confirmClaim(t *term, sent time.Duration) {
