--- a/internal/node/sched/scheduler.go
+++ b/internal/node/sched/scheduler.go
@@ -17,8 +17,9 @@
 	maxWakeInterval = time.Second
 	minWakeInterval = 5 * time.Millisecond
 	// fleetSettleTime is how long a new scheduler preempts no jobs, so that the agents
-	// that reconnect after their entry was lost can announce themselves first.
-	fleetSettleTime = time.Second
+	// that reconnect after their entry was lost can announce themselves first. It adds
+	// to the time of a takeover, of which starts have 4.7 s in all.
+	fleetSettleTime = 300 * time.Millisecond
 )
 
 // regionScheduler schedules the jobs of one region for one term.
