Review, case 3: one odd ping takes a worker away for good

A ping with missing fields replaces the worker of an agent, which then takes the pings of the real one for late ones. Replaces the cancellation in doubt, which stays among the further breaks; cases 3 and 4 become 4 and 5.

--- a/review/5/run.sh
+++ b/review/5/run.sh
@@ -1,3 +1,3 @@
 #!/usr/bin/env bash
 # Plays this case; see claim.txt.
-exec "$(dirname "$0")/../run-case.sh" cancel-in-doubt "$(dirname "$0")"
+exec "$(dirname "$0")/../run-case.sh" fails-once "$(dirname "$0")"
--- a/review/standins/cases.go
+++ b/review/standins/cases.go
@@ -1,12 +1,9 @@
 package main
 
 import (
-	"bytes"
-	"encoding/json"
 	"fmt"
 	"maps"
 	"net"
-	"net/http"
 	"slices"
 	"strings"
 	"time"
@@ -215,53 +212,25 @@
 	_, _ = c.Write(buffer[:got])
 }
 
-// contactWindow is the bound contact_window_ms.
-const contactWindow = 3 * time.Second
-
-// cancelInDoubt has a client leave before the store has answered for its job, and cancel the
-// job. The store carries the job's record out later.
-func cancelInDoubt(s *stage, trouble bool) ([]string, error) {
-	const late = 6 * time.Second
+// oddPing has another writer send one ping with missing fields to each agent.
+func oddPing(s *stage, trouble bool) ([]string, error) {
 	if err := s.begin(3, 2, []string{"a", "r1-1"}, amount{cpu: 128000, memory: 524288, gpu: 8}); err != nil {
 		return nil, err
 	}
-	id := newJobID()
-	s.runs.define(id, kind{need: amount{cpu: 1000, memory: 1000, gpu: 1}, work: 4 * time.Second})
-	step := map[string]any{"count": 2, "cpu": 1000, "mem_mb": 1000, "gpu": 1, "estimate_ms": 4000}
-	next := maps.Clone(step)
-	next["after"] = []int{0}
-	body, _ := json.Marshal(map[string]any{"spec": "work", "steps": []any{step, next}})
-	if trouble {
-		s.store.setLate(late)
-	}
-	status, _, err := request(http.MethodPost, s.address(11, frontPort), queuePrefix+id, clientHeader, body, 200*time.Millisecond)
-	s.rec.line("client: POST job %s -> %d %v", id, status, err)
-	// The last late append is carried out at calm, as far as the case goes.
-	calm := time.Now()
 	if trouble {
-		s.store.setLate(0)
-		calm = calm.Add(late)
-	}
-	acknowledged, err := s.cancel(id)
-	if err != nil {
-		return nil, err
-	}
-	time.Sleep(time.Until(calm.Add(12 * time.Second)))
-	s.rec.line("client: GET job %s -> %s", id, s.state(0, id))
-	return s.runs.breaksOfCancel(id, acknowledged, calm.Add(contactWindow)), nil
-}
-
-// cancel cancels a job and returns when that was acknowledged.
-func (s *stage) cancel(id string) (time.Time, error) {
-	for range 10 {
-		status, data, err := request(http.MethodDelete, s.address(11, frontPort), queuePrefix+id, clientHeader, nil, 3*time.Second)
-		s.rec.line("client: DELETE job %s -> %d %s %v", id, status, bytes.TrimSpace(data), err)
-		if err == nil && (status/100 == 2 || status == http.StatusGone) {
-			return time.Now(), nil
+		for _, p := range s.pingers {
+			body := map[string]any{"service": service, "state": "ready", "born": time.Now().UnixMilli()}
+			status, _, err := post(p.control, "/v1/instances/i-of-another/heartbeat", body, time.Second)
+			s.rec.line("another writer: ping %v without the other fields -> %d %v", body, status, err)
 		}
-		time.Sleep(500 * time.Millisecond)
 	}
-	return time.Time{}, fmt.Errorf("%w: the cancellation was not acknowledged", errCannotRun)
+	time.Sleep(2 * time.Second)
+	k := kind{need: amount{cpu: 1000, memory: 1000, gpu: 1}, work: 2 * time.Second}
+	id := newJobID()
+	if !s.submit(id, "work", k, map[string]any{"count": 4, "cpu": 1000, "mem_mb": 1000, "gpu": 1, "estimate_ms": 2000}) {
+		return nil, fmt.Errorf("%w: the job was not accepted", errCannotRun)
+	}
+	return s.idleJobs(time.Now(), 25*time.Second, []string{id}), nil
 }
 
 // lasting submits a job of work items that last, one on each of some workers, and waits until
--- a/review/standins/main.go
+++ b/review/standins/main.go
@@ -23,11 +23,11 @@
 var cases = map[string]func(s *stage, trouble bool) ([]string, error){
 	"ends-in-outage":  endsInOutage,
 	"late-leave":      lateLeave,
+	"odd-ping":        oddPing,
 	"large-jobs-wait": largeJobsWait,
 	"fails-once":      failsOnce,
-	"cancel-in-doubt": cancelInDoubt,
 
-	"odd-ping":          oddPing,
+	"cancel-in-doubt":   cancelInDoubt,
 	"grey-then-lasting": greyThenLasting,
 	"huge-job":          hugeJob,
 	"spread-step":       spreadStep,
--- a/review/standins/worker.go
+++ b/review/standins/worker.go
@@ -361,6 +361,7 @@
 	id := w.id
 	w.mu.Unlock()
 	status, _, err := post(p.control, "/v1/instances/"+id+"/heartbeat", body, time.Second)
+	w.rec.line("worker %s: ping %d as %s, %s -> %d %v", w.name, p.seq, id, state, status, err)
 	return err == nil && status == http.StatusOK
 }
 
