A report changes the agent's worker only if the worker confirms it

Cause: HandleReport took the newest start time for the present worker, whatever the id. The worker itself was never asked. The same comparison, at the agent and in the planner, ignored a worker for good whose time of day had been set back before it started anew, and a sequence far ahead silenced it too.

Ruled out: that it takes missing fields.

The call renews no lease and acknowledges nothing. A sequence may run ahead by 100 a second. The planner relies on the order of an agent's reports, and ignores an earlier start time only from another agent.

--- a/internal/core/plan/report.go
+++ b/internal/core/plan/report.go
@@ -7,10 +7,12 @@
 	"github.com/chestnutpond/chestnutpond"
 )
 
-// Report applies an agent's report about its worker.
+// Report applies an agent's report about its worker. The reports of an agent come in
+// order, and it reports only incarnations that the worker has confirmed, so a start time
+// before that of the former incarnation means that the worker's time of day was set back.
 func (p *Planner) Report(now time.Duration, rep Report) {
 	w := p.worker(rep.Info.ID)
-	if w.reported && rep.Info.StartedMs < w.life.StartedMs {
+	if w.reported && rep.Agent != w.agent && rep.Info.StartedMs < w.life.StartedMs {
 		return
 	}
 	p.updateLife(now, w, rep)
@@ -77,7 +79,7 @@
 // w prove that they have ended.
 func (p *Planner) settleReplaced(now time.Duration, w *worker) {
 	for _, other := range p.sortedWorkers {
-		if other != w && other.agent == w.agent && !other.left && other.info.StartedMs <= w.info.StartedMs {
+		if other != w && other.agent == w.agent {
 			p.WorkerLeft(now, other.id)
 		}
 	}
--- /dev/null
+++ b/internal/node/runner/identity.go
@@ -0,0 +1,169 @@
+package runner
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"github.com/chestnutpond/chestnutpond"
+)
+
+const (
+	// identifyTimeout bounds the identification of a worker. The worker expects an
+	// answer to its report within a second.
+	identifyTimeout = 800 * time.Millisecond
+	// identifyRetryDelay is the delay before an unanswered identification is repeated.
+	identifyRetryDelay = 50 * time.Millisecond
+	// maxReportRate and reportBurst bound by how much the sequence of a worker's reports
+	// may increase: per second, and in addition to that.
+	maxReportRate = 100
+	reportBurst   = 100
+)
+
+// identity is the answer to whether the worker beside the agent is a given incarnation.
+type identity int
+
+const (
+	// identityUnknown means that the worker did not answer.
+	identityUnknown identity = iota
+	identityConfirmed
+	identityRefuted
+)
+
+// HandleReport implements chestnutpond.WorkerReports. A report changes the identity of
+// the agent's worker only if the worker confirms it: anybody may send a report, and a
+// report of a former incarnation may arrive late.
+func (a *Agent) HandleReport(ctx context.Context, info chestnutpond.WorkerInfo) bool {
+	if a.cfg.Service != "" && info.Service != a.cfg.Service {
+		a.cfg.Log.Warn("report refused: another service", "worker", info.ID, "service", info.Service, "want", a.cfg.Service)
+		return false
+	}
+	if a.updateWorker(info) {
+		return true
+	}
+	ctx, cancel := context.WithTimeout(ctx, identifyTimeout)
+	defer cancel()
+	select {
+	case <-a.identifying:
+		defer func() { a.identifying <- struct{}{} }()
+	case <-ctx.Done():
+		a.cfg.Log.Warn("report refused: another report is being checked", "worker", info.ID)
+		return false
+	}
+	if a.updateWorker(info) {
+		return true
+	}
+	switch a.identify(ctx, info) {
+	case identityConfirmed:
+		a.replaceWorker(info)
+		return true
+	case identityRefuted:
+		a.cfg.Log.Warn("report refused: it is not of the worker beside this agent", "worker", info.ID, "born", info.StartedMs)
+		return false
+	}
+	a.cfg.Log.Warn("report refused: the worker does not confirm it", "worker", info.ID, "born", info.StartedMs)
+	return false
+}
+
+// updateWorker applies a report of the current incarnation of the worker. It returns
+// false if the report names another one.
+func (a *Agent) updateWorker(info chestnutpond.WorkerInfo) bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	previous := a.worker
+	if !a.reported || info.Incarnation() != previous.Incarnation() {
+		return false
+	}
+	now := a.cfg.Now()
+	if info.Sequence <= previous.Sequence {
+		// The report is late.
+		return true
+	}
+	ahead := info.Sequence - previous.Sequence
+	if limit := reportBurst + int64(maxReportRate*(now-a.reportedAt).Seconds()); ahead > limit {
+		a.cfg.Log.Warn("report ignored: its sequence is too far ahead", "worker", info.ID, "sequence", info.Sequence,
+			"previous", previous.Sequence, "limit", limit)
+		return true
+	}
+	if previous.State != info.State {
+		a.cfg.Log.Info("worker changed its state", "worker", info.ID, "state", info.State, "remaining", info.Remaining)
+	}
+	a.worker, a.reportedAt, a.left = info, now, false
+	if previous.State != info.State {
+		a.notifyChange()
+	}
+	return true
+}
+
+// replaceWorker makes another incarnation the agent's worker.
+func (a *Agent) replaceWorker(info chestnutpond.WorkerInfo) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.cfg.Log.Info("worker registered", "worker", info.ID, "born", info.StartedMs, "service", info.Service, "zone", info.Zone,
+		"rack", info.Rack, "labels", info.Labels, "cpu", info.Capacity.CPU, "memory", info.Capacity.Memory,
+		"accelerators", info.Capacity.Accelerators, "state", info.State)
+	a.resetLife(info)
+	a.worker, a.reported, a.reportedAt = info, true, a.cfg.Now()
+	a.left = false
+	a.notifyChange()
+}
+
+// identify asks the worker whether it is the incarnation that the report names, until it
+// answers or the context ends.
+func (a *Agent) identify(ctx context.Context, info chestnutpond.WorkerInfo) identity {
+	for {
+		if answer := a.askIdentity(ctx, info); answer != identityUnknown {
+			return answer
+		}
+		select {
+		case <-ctx.Done():
+			return identityUnknown
+		case <-time.After(identifyRetryDelay):
+		}
+	}
+}
+
+// askIdentity makes one call that renews no lease and acknowledges nothing. Only the
+// named incarnation of the worker answers it.
+func (a *Agent) askIdentity(ctx context.Context, info chestnutpond.WorkerInfo) identity {
+	order := chestnutpond.RenewOrder{Worker: info.ID}
+	a.mu.Lock()
+	current := a.worker
+	if a.orders.life.ID == info.ID {
+		// The fence of a worker with another id would shut out the leader, which begins
+		// with a lower one.
+		order.Fence = a.orders.fence
+	}
+	a.mu.Unlock()
+	ctx, cancel := context.WithTimeout(ctx, orderTimeout)
+	defer cancel()
+	lists, err := a.cfg.Runner.Renew(ctx, order)
+	var refused *chestnutpond.RefusedError
+	switch {
+	case err == nil && (lists.StartedMs == 0 || lists.StartedMs == info.StartedMs):
+		return identityConfirmed
+	case err == nil:
+		return identityRefuted
+	case errors.As(err, &refused) && refused.Refusal == chestnutpond.RefusedIncarnation:
+		return identityRefuted
+	case errors.As(err, &refused) && refused.Refusal == chestnutpond.RefusedFence:
+		// The id is right, and the start time is unknown until the lists are read.
+		if current.ID == info.ID && info.StartedMs < current.StartedMs {
+			return identityRefuted
+		}
+		return identityConfirmed
+	}
+	a.cfg.Log.Debug("worker does not identify itself", "worker", info.ID, "error", err)
+	return identityUnknown
+}
+
+// HandleLeave implements chestnutpond.WorkerReports.
+func (a *Agent) HandleLeave(id string) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if a.reported && a.worker.ID == id {
+		a.cfg.Log.Info("worker has left", "worker", id)
+		a.left = true
+		a.notifyChange()
+	}
+}
--- a/internal/node/runner/lease.go
+++ b/internal/node/runner/lease.go
@@ -130,7 +130,7 @@
 		info := a.worker
 		info.StartedMs, info.Sequence = l.StartedMs, 0
 		a.resetLife(info)
-		a.worker = info
+		a.worker, a.left = info, false
 		a.notifyChange()
 		return
 	}
--- a/internal/node/runner/runner.go
+++ b/internal/node/runner/runner.go
@@ -87,12 +87,14 @@
 	// mu guards the fields below.
 	mu     sync.Mutex
 	worker chestnutpond.WorkerInfo
-	// reported means that the worker has reported to this process.
-	reported bool
-	left     bool
-	leaving  bool
-	orders   orders
-	lists    lists
+	// reported means that the worker has reported to this process and has confirmed its
+	// identity; reportedAt is when the newest report arrived.
+	reported   bool
+	reportedAt time.Duration
+	left       bool
+	leaving    bool
+	orders     orders
+	lists      lists
 	// grantEnd is the time until which the worker's lease may be renewed.
 	grantEnd time.Duration
 	// leaseEnd is the time at which the last renewed lease has certainly expired.
@@ -122,6 +124,9 @@
 	revision int64
 	// ordersChanged is signalled when the orders change.
 	ordersChanged chan struct{}
+	// identifying holds a token while no report is checked against the worker. It is
+	// taken before the lock.
+	identifying chan struct{}
 }
 
 // orders are the newest orders of the leader.
@@ -156,47 +161,20 @@
 
 // New returns an agent.
 func New(c Config) *Agent {
-	return &Agent{
+	a := &Agent{
 		cfg:      c,
 		meters:   newMeters(c.Metrics),
 		leaseEnd: c.Now() + c.Lease + leaseMargin,
 		starts:   map[runKey]*startOrder{}, stops: map[runKey]*stopOrder{}, doubts: map[runKey]time.Duration{},
 		lapsed: map[runKey]bool{}, appliedPaces: map[runKey]int{},
-		changed: make(chan struct{}), ordersChanged: make(chan struct{}, 1),
+		changed: make(chan struct{}), ordersChanged: make(chan struct{}, 1), identifying: make(chan struct{}, 1),
 	}
+	a.identifying <- struct{}{}
+	return a
 }
 
 var _ chestnutpond.WorkerReports = (*Agent)(nil)
 
-// HandleReport implements chestnutpond.WorkerReports.
-func (a *Agent) HandleReport(info chestnutpond.WorkerInfo) bool {
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	previous := a.worker
-	if a.cfg.Service != "" && info.Service != a.cfg.Service {
-		a.cfg.Log.Warn("report refused: another service", "worker", info.ID, "service", info.Service, "want", a.cfg.Service)
-		return false
-	}
-	if a.reported && (info.StartedMs < previous.StartedMs || info.Incarnation() == previous.Incarnation() && info.Sequence <= previous.Sequence) {
-		// The report is late, of this or a former incarnation.
-		return true
-	}
-	if !a.reported || info.Incarnation() != previous.Incarnation() {
-		a.cfg.Log.Info("worker registered", "worker", info.ID, "born", info.StartedMs, "service", info.Service, "zone", info.Zone,
-			"rack", info.Rack, "labels", info.Labels, "cpu", info.Capacity.CPU, "memory", info.Capacity.Memory,
-			"accelerators", info.Capacity.Accelerators, "state", info.State)
-		a.resetLife(info)
-	} else if previous.State != info.State {
-		a.cfg.Log.Info("worker changed its state", "worker", info.ID, "state", info.State, "remaining", info.Remaining)
-	}
-	urgent := !a.reported || previous.State != info.State
-	a.worker, a.reported, a.left = info, true, false
-	if urgent {
-		a.notifyChange()
-	}
-	return true
-}
-
 // resetLife discards the state of the worker's former incarnation.
 func (a *Agent) resetLife(info chestnutpond.WorkerInfo) {
 	a.lists = lists{}
@@ -208,17 +186,6 @@
 	}
 }
 
-// HandleLeave implements chestnutpond.WorkerReports.
-func (a *Agent) HandleLeave(id string) {
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	if a.reported && a.worker.ID == id {
-		a.cfg.Log.Info("worker has left", "worker", id)
-		a.left = true
-		a.notifyChange()
-	}
-}
-
 // notifyChange makes the links report. The lock is held.
 func (a *Agent) notifyChange() {
 	a.revision++
--- a/internal/test/stand/taskworker.go
+++ b/internal/test/stand/taskworker.go
@@ -55,6 +55,8 @@
 	// unhealthy refuses every start.
 	unhealthy bool
 	failing   bool
+	// clockLead is how far the time of day is ahead that the worker starts by.
+	clockLead time.Duration
 }
 
 type runID struct {
@@ -89,7 +91,7 @@
 	}
 	w.restarted = w.runs != nil
 	now := time.Now()
-	w.life = chestnutpond.WorkerIncarnation{ID: w.id, StartedMs: now.UnixMilli()}
+	w.life = chestnutpond.WorkerIncarnation{ID: w.id, StartedMs: now.Add(w.clockLead).UnixMilli()}
 	w.began, w.fence, w.until = now, 0, 0
 	w.runs, w.highest = map[runID]*workerRun{}, map[chestnutpond.TaskRef]int64{}
 	w.ended, w.ends, w.acked, w.lapsedUpTo, w.reports = nil, 0, 0, 0, 0
@@ -101,6 +103,21 @@
 	w.mute, w.late = false, 0
 }
 
+// RestartAs begins another life of the worker under another id.
+func (w *TaskWorker) RestartAs(id string) {
+	w.cfg.Fleet.mu.Lock()
+	w.id = id
+	w.cfg.Fleet.mu.Unlock()
+	w.Restart()
+}
+
+// SetClockLead sets how far the time of day is ahead by which the next lives start.
+func (w *TaskWorker) SetClockLead(d time.Duration) {
+	w.cfg.Fleet.mu.Lock()
+	defer w.cfg.Fleet.mu.Unlock()
+	w.clockLead = d
+}
+
 // Info returns the worker's next report about itself.
 func (w *TaskWorker) Info() chestnutpond.WorkerInfo {
 	f := w.cfg.Fleet
--- a/internal/test/world/malformed_test.go
+++ b/internal/test/world/malformed_test.go
@@ -22,6 +22,17 @@
 		"another worker of another service": func(i *chestnutpond.WorkerInfo) {
 			i.ID, i.Service, i.StartedMs = "stranger", "other", i.StartedMs+1000
 		},
+		"another worker of the service": func(i *chestnutpond.WorkerInfo) { i.ID, i.StartedMs = "stranger", i.StartedMs+1000 },
+		"another worker in the future": func(i *chestnutpond.WorkerInfo) {
+			i.ID, i.StartedMs = "stranger", i.StartedMs+(9*time.Minute).Milliseconds()
+		},
+		"later start": func(i *chestnutpond.WorkerInfo) { i.StartedMs += 1000 },
+		"bare identity": func(i *chestnutpond.WorkerInfo) {
+			*i = chestnutpond.WorkerInfo{ID: "stranger", Service: i.Service, StartedMs: i.StartedMs + 1000, State: i.State}
+		},
+		"sequence far ahead": func(i *chestnutpond.WorkerInfo) {
+			i.Sequence, i.State = 1<<52, chestnutpond.WorkerDraining
+		},
 		"former start":    func(i *chestnutpond.WorkerInfo) { i.StartedMs--; i.Sequence += 100 },
 		"former sequence": func(i *chestnutpond.WorkerInfo) { i.Sequence = 0; i.State = chestnutpond.WorkerDraining },
 	} {
@@ -32,10 +43,15 @@
 				for _, a := range w.Agents {
 					info := a.Worker.Info()
 					change(&info)
-					a.node.Reports().HandleReport(info)
+					a.ReportOf(info)
 				}
 				assert.Assert(t, w.Ended(6*time.Second, jobID, chestnutpond.JobCompleted))
 				w.startedOnce(t, jobID, 20)
+				// The workers are given work as before.
+				w.accept(t, w.Entries[0], "00000000000000a2", tasks(20))
+				w.running(t, 20)
+				assert.Assert(t, w.Ended(6*time.Second, "00000000000000a2", chestnutpond.JobCompleted))
+				w.startedOnce(t, "00000000000000a2", 20)
 			})
 		})
 	}
--- a/internal/test/world/world.go
+++ b/internal/test/world/world.go
@@ -285,7 +285,19 @@
 	if node == nil || quiet {
 		return false
 	}
-	return node.Reports().HandleReport(a.Worker.Info())
+	return node.Reports().HandleReport(a.world.ctx, a.Worker.Info())
+}
+
+// ReportOf sends a report of another writer to the agent.
+func (a *Agent) ReportOf(info chestnutpond.WorkerInfo) bool {
+	return a.Node().Reports().HandleReport(a.world.ctx, info)
+}
+
+// Node returns the process.
+func (a *Agent) Node() *fleet.Agent {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.node
 }
 
 // SetQuiet holds the worker's reports back.
--- a/service.go
+++ b/service.go
@@ -105,7 +105,7 @@
 type WorkerReports interface {
 	// HandleReport handles a report. It returns false if the report cannot be accepted
 	// now.
-	HandleReport(info WorkerInfo) bool
+	HandleReport(ctx context.Context, info WorkerInfo) bool
 	// HandleLeave is called when the worker reports that it shuts down.
 	HandleLeave(id string)
 }
