A leave counts only for the incarnation of the worker that sent it

Cause: HandleLeave compared ids only, and the leader applied a leave even where it had ignored the rest of the report. Nothing took a leave back.

Change: a leave with a start time counts if it is that of the present life. One without keeps new work away and counts when the worker refuses connections; if the worker still answers after 2 s it is disregarded. A worker that is ready after its leave is used again. The planner takes the leave from the report, for the incarnation in it.

TestWorkerLeaves is new and was not run on the former code.

--- a/internal/core/plan/report.go
+++ b/internal/core/plan/report.go
@@ -51,6 +51,9 @@
 		}
 		p.reconcile(now, w, rep)
 	}
+	if rep.Left {
+		p.workerLeft(now, w)
+	}
 }
 
 // updateLife records a worker's first report and the start of another incarnation.
@@ -62,7 +65,7 @@
 		w.version++
 		p.note(Note{Kind: NoteWorker, Worker: w.id, Detail: "worker reports"})
 	case w.life != life:
-		w.life, w.listed, w.left = life, false, false
+		w.life, w.listed = life, false
 		w.lives++
 		w.appliedSeq, w.storedSeq = 0, 0
 		w.orphans = map[runKey]bool{}
@@ -70,6 +73,11 @@
 		w.version++
 		p.note(Note{Kind: NoteWorker, Worker: w.id, Detail: "worker started again"})
 	}
+	if w.left && !rep.Left {
+		w.left = false
+		w.version++
+		p.note(Note{Kind: NoteWorker, Worker: w.id, Detail: "worker has returned"})
+	}
 	if w.reported && w.info.State != rep.Info.State && w.info.State != "" {
 		p.note(Note{Kind: NoteWorker, Worker: w.id, Detail: "worker is " + string(rep.Info.State)})
 	}
@@ -80,15 +88,14 @@
 func (p *Planner) settleReplaced(now time.Duration, w *worker) {
 	for _, other := range p.sortedWorkers {
 		if other != w && other.agent == w.agent {
-			p.WorkerLeft(now, other.id)
+			p.workerLeft(now, other)
 		}
 	}
 }
 
-// WorkerLeft settles all runs of a worker that announced its end.
-func (p *Planner) WorkerLeft(now time.Duration, id string) {
-	w := p.workers[id]
-	if w == nil || w.left {
+// workerLeft settles all runs of a worker whose incarnation has ended.
+func (p *Planner) workerLeft(now time.Duration, w *worker) {
+	if w.left {
 		return
 	}
 	w.left = true
--- a/internal/core/plan/worker.go
+++ b/internal/core/plan/worker.go
@@ -29,7 +29,7 @@
 	agent string
 	// reported means that the worker has reported to this planner.
 	reported bool
-	// left means that the worker has ended permanently.
+	// left means that this incarnation of the worker has ended.
 	left bool
 	// leaseExpired means that its last lease has expired and it has not reported
 	// since.
@@ -71,6 +71,8 @@
 type Report struct {
 	Agent string
 	Info  chestnutpond.WorkerInfo
+	// Left means that this incarnation of the worker has ended.
+	Left bool
 	// Listed means that Running and Ended are the worker's lists under Fence.
 	Listed  bool
 	Fence   int64
--- a/internal/node/lead/attach.go
+++ b/internal/node/lead/attach.go
@@ -122,9 +122,6 @@
 		now := m.cfg.Now()
 		before := m.term.planner.OrdersVersion(s.worker)
 		m.term.planner.Report(now, decodeReport(r, m.cfg.Log))
-		if r.GetLeft() {
-			m.term.planner.WorkerLeft(now, s.worker)
-		}
 		if m.term.planner.OrdersVersion(s.worker) != before {
 			m.wakeUp()
 		}
@@ -243,6 +240,7 @@
 			Remaining:       time.Duration(w.GetRemainingMs()) * time.Millisecond,
 			WarmupRemaining: time.Duration(w.GetColdMs()) * time.Millisecond,
 		},
+		Left:   r.GetLeft(),
 		Clock:  time.Duration(r.GetClockMs()) * time.Millisecond,
 		Listed: r.GetListed(), Fence: r.GetListedFence(), Silent: time.Duration(r.GetSilentMs()) * time.Millisecond,
 		Unhealthy: r.GetUnhealthy() || r.GetLeaving(), LeaseOver: r.GetLeaseOver(),
--- a/internal/node/runner/identity.go
+++ b/internal/node/runner/identity.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"syscall"
 	"time"
 
 	"github.com/chestnutpond/chestnutpond"
@@ -14,6 +15,9 @@
 	identifyTimeout = 800 * time.Millisecond
 	// identifyRetryDelay is the delay before an unanswered identification is repeated.
 	identifyRetryDelay = 50 * time.Millisecond
+	// departureLimit is how long a worker may answer calls after a departure that may
+	// be that of a former incarnation before the departure is disregarded.
+	departureLimit = 2 * time.Second
 	// maxReportRate and reportBurst bound by how much the sequence of a worker's reports
 	// may increase: per second, and in addition to that.
 	maxReportRate = 100
@@ -85,11 +89,16 @@
 			"previous", previous.Sequence, "limit", limit)
 		return true
 	}
+	returned := a.left && info.State == chestnutpond.WorkerReady
+	if returned {
+		a.cfg.Log.Warn("worker has left and reports again", "worker", info.ID)
+		a.left = false
+	}
 	if previous.State != info.State {
 		a.cfg.Log.Info("worker changed its state", "worker", info.ID, "state", info.State, "remaining", info.Remaining)
 	}
-	a.worker, a.reportedAt, a.left = info, now, false
-	if previous.State != info.State {
+	a.worker, a.reportedAt = info, now
+	if returned || previous.State != info.State {
 		a.notifyChange()
 	}
 	return true
@@ -104,7 +113,7 @@
 		"accelerators", info.Capacity.Accelerators, "state", info.State)
 	a.resetLife(info)
 	a.worker, a.reported, a.reportedAt = info, true, a.cfg.Now()
-	a.left = false
+	a.left, a.departingSince = false, 0
 	a.notifyChange()
 }
 
@@ -157,13 +166,42 @@
 	return identityUnknown
 }
 
-// HandleLeave implements chestnutpond.WorkerReports.
-func (a *Agent) HandleLeave(id string) {
+// HandleLeave implements chestnutpond.WorkerReports. A departure without a start time may
+// be a late one of a former incarnation with the same id, so it counts only once the
+// worker refuses connections.
+func (a *Agent) HandleLeave(life chestnutpond.WorkerIncarnation) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	if a.reported && a.worker.ID == id {
-		a.cfg.Log.Info("worker has left", "worker", id)
-		a.left = true
+	current := a.worker.Incarnation()
+	switch {
+	case !a.reported || life.ID != current.ID, life.StartedMs != 0 && life.StartedMs != current.StartedMs:
+		a.cfg.Log.Warn("departure ignored: it is not of the worker beside this agent", "worker", life.ID, "born", life.StartedMs)
+	case life.StartedMs == current.StartedMs:
+		a.recordLeft()
+	case !a.left && a.departingSince == 0:
+		a.cfg.Log.Info("worker announces its departure", "worker", life.ID)
+		a.departingSince = a.cfg.Now()
+		a.notifyChange()
+	}
+}
+
+// recordLeft records that the worker has ended. The lock is held.
+func (a *Agent) recordLeft() {
+	a.cfg.Log.Info("worker has left", "worker", a.worker.ID, "born", a.worker.StartedMs)
+	a.left, a.departingSince = true, 0
+	a.notifyChange()
+}
+
+// checkDeparture compares an announced departure with the result of a call to the worker.
+// The lock is held.
+func (a *Agent) checkDeparture(err error) {
+	switch {
+	case a.departingSince == 0:
+	case errors.Is(err, syscall.ECONNREFUSED):
+		a.recordLeft()
+	case err == nil && a.cfg.Now()-a.departingSince >= departureLimit:
+		a.cfg.Log.Warn("departure disregarded: the worker still answers", "worker", a.worker.ID)
+		a.departingSince = 0
 		a.notifyChange()
 	}
 }
--- a/internal/node/runner/lease.go
+++ b/internal/node/runner/lease.go
@@ -53,9 +53,9 @@
 		a.holdFailed(err)
 		return false
 	}
-	a.handleListing(call, lists)
-	// A worker with ended runs that are not acknowledged answers at once.
-	return len(lists.Ended) == 0
+	departing := a.handleListing(call, lists)
+	// A departing worker and one with ended runs that are not acknowledged answer at once.
+	return !departing && len(lists.Ended) == 0
 }
 
 // holdCall identifies a Renew call.
@@ -79,7 +79,7 @@
 		Fence: a.orders.fence, Acknowledged: a.orders.acknowledged, Worker: a.worker.ID, Wait: holdWait,
 	}
 	silent := a.lists.unansweredSince > 0 && now-a.lists.unansweredSince > workerTimeout
-	if !a.lists.hasClock || a.lists.fence != a.orders.fence || silent {
+	if !a.lists.hasClock || a.lists.fence != a.orders.fence || silent || a.departingSince > 0 {
 		// The run lists are needed now, so the worker should not wait for a run to
 		// end.
 		o.Wait = 0
@@ -105,6 +105,7 @@
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	a.checkLease(a.cfg.Now())
+	a.checkDeparture(err)
 	a.lifeUnverified = true
 	var refused *chestnutpond.RefusedError
 	if errors.As(err, &refused) {
@@ -116,13 +117,14 @@
 	a.cfg.Log.Warn("worker does not answer", "worker", a.worker.ID, "error", err)
 }
 
-// handleListing stores the run lists of a Renew call.
-func (a *Agent) handleListing(call holdCall, l chestnutpond.RunList) {
+// handleListing stores the run lists of a Renew call, and reports whether the worker has
+// announced its departure.
+func (a *Agent) handleListing(call holdCall, l chestnutpond.RunList) bool {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	life := call.life
 	if life != a.worker.Incarnation() {
-		return
+		return false
 	}
 	a.lifeUnverified = false
 	if l.StartedMs != 0 && l.StartedMs != life.StartedMs {
@@ -130,10 +132,12 @@
 		info := a.worker
 		info.StartedMs, info.Sequence = l.StartedMs, 0
 		a.resetLife(info)
-		a.worker, a.left = info, false
+		a.worker = info
+		a.left, a.departingSince = false, 0
 		a.notifyChange()
-		return
+		return false
 	}
+	a.checkDeparture(nil)
 	before := a.lists
 	a.lists = lists{
 		fence: call.fence, life: life, running: l.Running, ended: l.Ended,
@@ -142,6 +146,7 @@
 	if a.observeOutcomes(call.number, l) || before.fence != call.fence || !sameRuns(before.running, l.Running) || !sameEnds(before.ended, l.Ended) {
 		a.notifyChange()
 	}
+	return a.departingSince > 0
 }
 
 // observeOutcomes searches the run lists of a Renew call for the runs that were
--- a/internal/node/runner/links.go
+++ b/internal/node/runner/links.go
@@ -244,7 +244,7 @@
 		Capacity: graph.EncodeVector(w.Capacity), Draining: w.State == chestnutpond.WorkerDraining,
 		RemainingMs: w.Remaining.Milliseconds(), ColdMs: w.WarmupRemaining.Milliseconds(),
 	}
-	message.Left, message.Leaving = a.left, a.leaving
+	message.Left, message.Leaving = a.left, a.leaving || a.departingSince > 0
 	if a.lists.unansweredSince > 0 {
 		message.SilentMs = (now - a.lists.unansweredSince).Milliseconds()
 		if message.SilentMs <= holdWait.Milliseconds()+1 {
--- a/internal/node/runner/runner.go
+++ b/internal/node/runner/runner.go
@@ -91,10 +91,14 @@
 	// identity; reportedAt is when the newest report arrived.
 	reported   bool
 	reportedAt time.Duration
-	left       bool
-	leaving    bool
-	orders     orders
-	lists      lists
+	// left means that this incarnation of the worker has ended.
+	left bool
+	// departingSince is when a departure was announced that is not confirmed yet, or 0.
+	departingSince time.Duration
+	// leaving means that this process is about to stop.
+	leaving bool
+	orders  orders
+	lists   lists
 	// grantEnd is the time until which the worker's lease may be renewed.
 	grantEnd time.Duration
 	// leaseEnd is the time at which the last renewed lease has certainly expired.
--- a/internal/test/stand/taskworker.go
+++ b/internal/test/stand/taskworker.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"syscall"
 	"time"
 
 	"github.com/chestnutpond/chestnutpond"
@@ -55,6 +56,8 @@
 	// unhealthy refuses every start.
 	unhealthy bool
 	failing   bool
+	// gone refuses every connection.
+	gone bool
 	// clockLead is how far the time of day is ahead that the worker starts by.
 	clockLead time.Duration
 }
@@ -100,7 +103,7 @@
 		close(w.changed)
 	}
 	w.changed = make(chan struct{})
-	w.mute, w.late = false, 0
+	w.mute, w.late, w.gone = false, 0, false
 }
 
 // RestartAs begins another life of the worker under another id.
@@ -111,6 +114,22 @@
 	w.Restart()
 }
 
+// Exit ends the worker's life: its runs are gone, and it refuses connections until it
+// starts again.
+func (w *TaskWorker) Exit() {
+	w.Restart()
+	w.cfg.Fleet.mu.Lock()
+	defer w.cfg.Fleet.mu.Unlock()
+	w.gone = true
+}
+
+// Life returns the incarnation of the worker.
+func (w *TaskWorker) Life() chestnutpond.WorkerIncarnation {
+	w.cfg.Fleet.mu.Lock()
+	defer w.cfg.Fleet.mu.Unlock()
+	return w.life
+}
+
 // SetClockLead sets how far the time of day is ahead by which the next lives start.
 func (w *TaskWorker) SetClockLead(d time.Duration) {
 	w.cfg.Fleet.mu.Lock()
@@ -185,8 +204,11 @@
 // it is mute. The lock is not held.
 func (w *TaskWorker) silent(ctx context.Context) error {
 	w.cfg.Fleet.mu.Lock()
-	mute, starting := w.mute, w.restarted && time.Since(w.began) < restartTime
+	mute, gone, starting := w.mute, w.gone, w.restarted && time.Since(w.began) < restartTime
 	w.cfg.Fleet.mu.Unlock()
+	if gone {
+		return syscall.ECONNREFUSED
+	}
 	if starting {
 		return errRestarted
 	}
--- a/internal/test/world/identity_test.go
+++ b/internal/test/world/identity_test.go
@@ -9,6 +9,72 @@
 	"github.com/chestnutpond/chestnutpond"
 )
 
+// Guards against a report or a leave of a former life of a worker, or of another worker,
+// that ends the runs of its present life, which then run twice.
+func TestLeavesOfAnotherLife(t *testing.T) {
+	for name, leave := range map[string]func(former, current chestnutpond.WorkerIncarnation) chestnutpond.WorkerIncarnation{
+		"former life": func(former, _ chestnutpond.WorkerIncarnation) chestnutpond.WorkerIncarnation { return former },
+		"former life, no start time": func(former, _ chestnutpond.WorkerIncarnation) chestnutpond.WorkerIncarnation {
+			return chestnutpond.WorkerIncarnation{ID: former.ID}
+		},
+		"another id": func(_, current chestnutpond.WorkerIncarnation) chestnutpond.WorkerIncarnation {
+			return chestnutpond.WorkerIncarnation{ID: "stranger", StartedMs: current.StartedMs}
+		},
+		"later life": func(_, current chestnutpond.WorkerIncarnation) chestnutpond.WorkerIncarnation {
+			return chestnutpond.WorkerIncarnation{ID: current.ID, StartedMs: current.StartedMs + 1}
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			play(t, 4*time.Second, func(t *testing.T, w *World) {
+				former := make([]chestnutpond.WorkerIncarnation, len(w.Agents))
+				for i, a := range w.Agents {
+					former[i] = a.Worker.Life()
+					a.Worker.Restart()
+				}
+				time.Sleep(2 * beatEvery)
+				w.accept(t, w.Entries[0], jobID, tasks(20))
+				w.running(t, 20)
+				for i, a := range w.Agents {
+					a.LeaveOf(leave(former[i], a.Worker.Life()))
+				}
+				assert.Assert(t, w.Ended(8*time.Second, jobID, chestnutpond.JobCompleted))
+				w.startedOnce(t, jobID, 20)
+				w.accept(t, w.Entries[0], "00000000000000a2", tasks(20))
+				assert.Assert(t, w.Ended(8*time.Second, "00000000000000a2", chestnutpond.JobCompleted))
+			})
+		})
+	}
+}
+
+// Guards against runs of a worker that has left and ended which wait for its lease to
+// expire.
+func TestWorkerLeaves(t *testing.T) {
+	for name, stated := range map[string]bool{"start time stated": true, "no start time": false} {
+		t.Run(name, func(t *testing.T) {
+			play(t, 4*time.Second, func(t *testing.T, w *World) {
+				w.accept(t, w.Entries[0], jobID, tasks(8))
+				w.running(t, 8)
+				a := w.Agents[0]
+				life, lost := a.Worker.Life(), a.Worker.Running()
+				a.SetQuiet(true)
+				a.Worker.Exit()
+				if !stated {
+					life.StartedMs = 0
+				}
+				a.LeaveOf(life)
+				assert.Assert(t, w.Until(time.Second, func() bool {
+					sum := 0
+					for _, other := range w.Agents {
+						sum += other.Worker.Running()
+					}
+					return sum == 8
+				}), "%d runs are not started elsewhere", lost)
+				assert.Assert(t, w.Ended(6*time.Second, jobID, chestnutpond.JobCompleted))
+			})
+		})
+	}
+}
+
 // Guards against a worker that is ignored for good because the time of day by which its
 // new life began is before that of the former one.
 func TestWorkerWhoseClockWasSetBack(t *testing.T) {
@@ -27,3 +93,16 @@
 		})
 	}
 }
+
+// Guards against an agent that gives up its worker for good after a leave that was not
+// the worker's, and that nothing contradicted while the worker did not answer.
+func TestWorkerThatReportsAfterItsLeave(t *testing.T) {
+	playWith(t, time.Second, func(c *Config) { c.Workers = 1 }, func(t *testing.T, w *World) {
+		a := w.Agents[0]
+		a.LeaveOf(a.Worker.Life())
+		time.Sleep(2 * beatEvery)
+		w.accept(t, w.Entries[0], jobID, tasks(4))
+		assert.Assert(t, w.Ended(5*time.Second, jobID, chestnutpond.JobCompleted))
+		w.startedOnce(t, jobID, 4)
+	})
+}
--- a/internal/test/world/world.go
+++ b/internal/test/world/world.go
@@ -293,6 +293,9 @@
 	return a.Node().Reports().HandleReport(a.world.ctx, info)
 }
 
+// LeaveOf sends a leave to the agent; a zero start time is one that is not stated.
+func (a *Agent) LeaveOf(life chestnutpond.WorkerIncarnation) { a.Node().Reports().HandleLeave(life) }
+
 // Node returns the process.
 func (a *Agent) Node() *fleet.Agent {
 	a.mu.Lock()
--- a/service.go
+++ b/service.go
@@ -106,6 +106,7 @@
 	// HandleReport handles a report. It returns false if the report cannot be accepted
 	// now.
 	HandleReport(ctx context.Context, info WorkerInfo) bool
-	// HandleLeave is called when the worker reports that it shuts down.
-	HandleLeave(id string)
+	// HandleLeave is called when the incarnation of a worker reports that it shuts
+	// down. StartedMs is 0 if the report does not state it.
+	HandleLeave(life WorkerIncarnation)
 }
