A truncated list of ends proves no run absent

Cause: a worker lists 500 ends at a time, and keeps those behind them until the first are acknowledged, which waits for the store. A run in neither list was taken for lost by the planner, and for one that never runs by the agent. Inspection took it for one without progress, and ejected its worker.

Ruled out: a worker that loses ends, and lapsed leases.

Change: RunList and the report of an agent say that ends are truncated. The agent then observes no outcome of stopped or refused runs, the planner counts no run as missing, and runs that the newest lists lack are not inspected.

--- a/fleet.go
+++ b/fleet.go
@@ -163,6 +163,9 @@
 	Running   []RunStatus
 	// Ended holds the ends that are not acknowledged, in ascending sequence.
 	Ended []RunEnd
+	// Truncated means that Ended leaves out the newest ends, so a run that is in
+	// neither list may have ended.
+	Truncated bool
 }
 
 // Refusal is the reason for which a worker refused an order. A refused order had
--- a/internal/core/plan/job.go
+++ b/internal/core/plan/job.go
@@ -116,8 +116,10 @@
 	sent bool
 	// ordered and seen are when the run entered these phases.
 	ordered, seen time.Duration
-	// missingSince is when a seen run was first absent from its worker's lists, or
-	// 0.
+	// listed means that the worker's newest list has the run as running.
+	listed bool
+	// missingSince is when a seen run was first absent from complete lists of its
+	// worker, or 0.
 	missingSince time.Duration
 	// inDoubtAt is when a start order for the run last got no answer, or 0.
 	inDoubtAt time.Duration
--- a/internal/core/plan/plan_test.go
+++ b/internal/core/plan/plan_test.go
@@ -37,6 +37,8 @@
 	ends    int64
 	refuse  map[RunRef]chestnutpond.Refusal
 	stopped []RunRefusal
+	// truncated makes the worker list none of its ends.
+	truncated bool
 }
 
 const testLease = 6 * time.Second
@@ -158,6 +160,9 @@
 
 func (b *testbed) reportWorker(w *fakeWorker) {
 	rep := Report{Agent: w.agent, Info: w.info, Listed: true, Fence: b.currentFence(w), Clock: b.now, Ended: w.ended, Stopped: w.stopped}
+	if w.truncated {
+		rep.Ended, rep.EndsTruncated = nil, true
+	}
 	for r, percent := range w.running {
 		rep.Running = append(rep.Running, chestnutpond.RunStatus{Task: r.Task, Run: r.Run, Percent: percent, Load: w.load})
 	}
--- a/internal/core/plan/repair.go
+++ b/internal/core/plan/repair.go
@@ -128,13 +128,13 @@
 const memberDonePercent = 99
 
 // monitored reports whether the run is expected to show progress in its worker's
-// lists.
+// lists. A run that they lack has ended or is missing.
 func (r *run) monitored() bool {
 	def := r.task.step.def
 	if def.Gang && r.percent >= memberDonePercent {
 		return false
 	}
-	return r.phase == runSeen && !r.stopping && !r.superseded && !def.Perpetual && !def.Filler
+	return r.phase == runSeen && r.listed && !r.stopping && !r.superseded && !def.Perpetual && !def.Filler
 }
 
 // gangRunning reports whether all members of the run's gang, if it has one, are
--- a/internal/core/plan/report.go
+++ b/internal/core/plan/report.go
@@ -169,7 +169,8 @@
 		}
 	}
 	for _, r := range w.sortedRuns() {
-		p.checkMissing(now, r, running[runKey{r.task.ref, r.number}])
+		r.listed = running[runKey{r.task.ref, r.number}]
+		p.checkMissing(now, r, rep.EndsTruncated)
 	}
 }
 
@@ -179,10 +180,11 @@
 
 // checkMissing stops a run that its worker no longer lists and whose end it has not
 // listed. Workers keep ended runs until they are acknowledged, so this happens only
-// through a fault of the worker.
-func (p *Planner) checkMissing(now time.Duration, r *run, listed bool) {
+// through a fault of the worker, unless the list of ends is truncated: the end follows
+// once those before it have been acknowledged.
+func (p *Planner) checkMissing(now time.Duration, r *run, truncated bool) {
 	switch {
-	case r.phase != runSeen || listed:
+	case r.phase != runSeen || r.listed || truncated:
 		r.missingSince = 0
 	case r.missingSince == 0:
 		r.missingSince = now
--- a/internal/core/plan/worker.go
+++ b/internal/core/plan/worker.go
@@ -78,7 +78,10 @@
 	Fence   int64
 	Running []chestnutpond.RunStatus
 	Ended   []chestnutpond.RunEnd
-	Refused []RunRefusal
+	// EndsTruncated means that Ended leaves out the newest ends, so a run that is in
+	// neither list may have ended.
+	EndsTruncated bool
+	Refused       []RunRefusal
 	// Stopped are runs that the worker is not running and will not start.
 	Stopped []RunRefusal
 	// Lapsed are runs whose lease has expired and that will not be started any
--- a/internal/node/lead/attach.go
+++ b/internal/node/lead/attach.go
@@ -240,7 +240,7 @@
 			Remaining:       time.Duration(w.GetRemainingMs()) * time.Millisecond,
 			WarmupRemaining: time.Duration(w.GetColdMs()) * time.Millisecond,
 		},
-		Left:   r.GetLeft(),
+		Left: r.GetLeft(), EndsTruncated: r.GetEndsTruncated(),
 		Clock:  time.Duration(r.GetClockMs()) * time.Millisecond,
 		Listed: r.GetListed(), Fence: r.GetListedFence(), Silent: time.Duration(r.GetSilentMs()) * time.Millisecond,
 		Unhealthy: r.GetUnhealthy() || r.GetLeaving(), LeaseOver: r.GetLeaseOver(),
--- a/internal/node/runner/lease.go
+++ b/internal/node/runner/lease.go
@@ -140,10 +140,10 @@
 	a.checkDeparture(nil)
 	before := a.lists
 	a.lists = lists{
-		fence: call.fence, life: life, running: l.Running, ended: l.Ended,
+		fence: call.fence, life: life, running: l.Running, ended: l.Ended, truncated: l.Truncated,
 		clock: l.Clock, received: a.cfg.Now(), hasClock: true,
 	}
-	if a.observeOutcomes(call.number, l) || before.fence != call.fence || !sameRuns(before.running, l.Running) || !sameEnds(before.ended, l.Ended) {
+	if a.observeOutcomes(call.number, l) || before.fence != call.fence || before.truncated != l.Truncated || !sameRuns(before.running, l.Running) || !sameEnds(before.ended, l.Ended) {
 		a.notifyChange()
 	}
 	return a.departingSince > 0
@@ -151,7 +151,11 @@
 
 // observeOutcomes searches the run lists of a Renew call for the runs that were
 // stopped or refused before it, and reports whether one of them is newly absent.
+// A truncated list of ends shows the absence of none.
 func (a *Agent) observeOutcomes(number int64, l chestnutpond.RunList) bool {
+	if l.Truncated {
+		return false
+	}
 	listed := map[runKey]bool{}
 	for _, r := range l.Running {
 		listed[runKey{r.Task, r.Run}] = true
--- a/internal/node/runner/links.go
+++ b/internal/node/runner/links.go
@@ -265,7 +265,7 @@
 	if a.lists.fence == 0 {
 		return
 	}
-	message.Listed, message.ListedFence = true, a.lists.fence
+	message.Listed, message.ListedFence, message.EndsTruncated = true, a.lists.fence, a.lists.truncated
 	message.ClockMs = a.lists.clock.Milliseconds()
 	for _, r := range a.lists.running {
 		message.Running = append(message.Running, &inner.RunRow{
--- a/internal/node/runner/runner.go
+++ b/internal/node/runner/runner.go
@@ -153,6 +153,8 @@
 	life    chestnutpond.WorkerIncarnation
 	running []chestnutpond.RunStatus
 	ended   []chestnutpond.RunEnd
+	// truncated means that ended leaves out the newest ends.
+	truncated bool
 	// clock is the worker's clock in the answer, received the local time of
 	// receipt.
 	clock    time.Duration
--- a/internal/test/stand/taskorders.go
+++ b/internal/test/stand/taskorders.go
@@ -293,6 +293,9 @@
 	w.acked = max(w.acked, upTo)
 }
 
+// ListedEnds is the number of ends that a list holds at most.
+const ListedEnds = 500
+
 // Listing returns the worker's lists.
 func (w *TaskWorker) Listing() chestnutpond.RunList {
 	w.cfg.Fleet.mu.Lock()
@@ -302,7 +305,10 @@
 
 // listing returns the worker's lists. The lock is held.
 func (w *TaskWorker) listing() chestnutpond.RunList {
-	l := chestnutpond.RunList{Clock: w.clock(), StartedMs: w.life.StartedMs, Ended: slices.Clone(w.ended)}
+	ended := w.ended[:min(len(w.ended), ListedEnds)]
+	l := chestnutpond.RunList{
+		Clock: w.clock(), StartedMs: w.life.StartedMs, Ended: slices.Clone(ended), Truncated: len(ended) == ListedEnds,
+	}
 	disturbance := int64(0)
 	for _, r := range w.runs {
 		if r.model.Filler {
