An estimate that is renewed without progress reserves no capacity for ever

Cause: a reservation begins when the runs on a worker are expected to end. Perpetual runs at 100 percent were expected to end within 50 ms, anew in each round, so the reservation was always due and never used. Gangs that hang at their end, starts that are not carried out and stops that are not confirmed did the same.

Ruled out: the workers and the lasting work; without the large jobs the small ones run at once.

Change: perpetual runs are not expected to end. What is overdue by more than 1 s is expected to be so for as long again, which moves the reservation away and ends it at its horizon. The dead field run.ordered becomes assigned, the time from which a start that is not carried out counts as overdue.

--- a/internal/core/plan/cost.go
+++ b/internal/core/plan/cost.go
@@ -90,7 +90,9 @@
 	if r.task.step.def.Checkpointable && r.task.checkpoint != "" {
 		rest = rest*time.Duration(100-r.percent)/100 + p.cfg.RestoreTime
 	}
-	before := p.objective(u) - p.age(u) - p.remaining(now, r)
+	// A run that is not expected to end has no remaining time.
+	remaining, _ := p.remaining(now, r)
+	before := p.objective(u) - p.age(u) - remaining
 	after := p.objective(u) - p.age(u) - rest
 	share := 1 - lateValueShare
 	if before < 0 {
--- a/internal/core/plan/decide.go
+++ b/internal/core/plan/decide.go
@@ -104,6 +104,7 @@
 		w := chosen[i]
 		r := &run{
 			task: t, number: number, worker: w, life: w.life, need: u.step.def.Reserved(), checkpoint: checkpoint,
+			assigned: now,
 		}
 		r.ticket, _ = p.ticket(now, u.step, w)
 		t.lastRun, t.current, t.phase = number, r, taskAssigned
--- a/internal/core/plan/job.go
+++ b/internal/core/plan/job.go
@@ -109,13 +109,16 @@
 	// stopping means that the run is being stopped. Its task waits again once the
 	// run is settled, unless the job has ended.
 	stopping bool
+	// stoppingSince is when stopping was set.
+	stoppingSince time.Duration
 	// superseded runs are ignored: their task has ended or has another run.
 	superseded bool
 	// sent means that the start order was handed out by Orders, or by a former
 	// leader.
 	sent bool
-	// ordered and seen are when the run entered these phases.
-	ordered, seen time.Duration
+	// assigned is when this planner assigned or adopted the run, seen when its worker
+	// first listed it.
+	assigned, seen time.Duration
 	// listed means that the worker's newest list has the run as running.
 	listed bool
 	// missingSince is when a seen run was first absent from complete lists of its
--- a/internal/core/plan/orders.go
+++ b/internal/core/plan/orders.go
@@ -47,7 +47,7 @@
 
 // Orders returns the orders for a worker; false if it has not reported to this
 // planner.
-func (p *Planner) Orders(now time.Duration, id string) (Orders, bool) {
+func (p *Planner) Orders(_ time.Duration, id string) (Orders, bool) {
 	w := p.workers[id]
 	if w == nil || !w.reported {
 		return Orders{}, false
@@ -69,7 +69,7 @@
 			o.Stops = append(o.Stops, RunRef{r.task.ref, r.number})
 		case r.phase == runOrdered && (r.sent || free.Covers(r.need)):
 			if !r.sent {
-				r.sent, r.ordered = true, now
+				r.sent = true
 				free = free.Minus(r.need)
 			}
 			o.Starts = append(o.Starts, StartRun{
--- a/internal/core/plan/plan_test.go
+++ b/internal/core/plan/plan_test.go
@@ -39,6 +39,10 @@
 	stopped []RunRefusal
 	// truncated makes the worker list none of its ends.
 	truncated bool
+	// ignored has orders to start that are left undone and unanswered, and ignoresStops
+	// does so with all orders to stop.
+	ignored      map[RunRef]bool
+	ignoresStops bool
 }
 
 const testLease = 6 * time.Second
@@ -129,7 +133,7 @@
 	}
 	b.p.LeaseGranted(b.now, w.info.ID)
 	for _, s := range o.Starts {
-		if _, refused := w.refuse[s.RunRef]; refused {
+		if _, refused := w.refuse[s.RunRef]; refused || w.ignored[s.RunRef] {
 			continue
 		}
 		if _, runs := w.running[s.RunRef]; !runs {
@@ -137,6 +141,9 @@
 		}
 	}
 	for _, s := range o.Stops {
+		if w.ignoresStops {
+			continue
+		}
 		if _, runs := w.running[s]; runs {
 			w.end(s, chestnutpond.RunStopped)
 		} else {
--- a/internal/core/plan/predict.go
+++ b/internal/core/plan/predict.go
@@ -14,16 +14,22 @@
 	minProgress = 4
 	// minRemaining is the lower bound of a predicted remaining time.
 	minRemaining = 50 * time.Millisecond
+	// overdueGrace is how late an expected event may be without being overdue. It covers
+	// the time between two reports and the start of a run.
+	overdueGrace = time.Second
 )
 
-// remaining returns how much longer a run is expected to take. The members of a
-// gang end with the slowest of them.
-func (p *Planner) remaining(now time.Duration, r *run) time.Duration {
+// remaining returns how much longer a run is expected to take; false if it is not
+// expected to end. The members of a gang end with the slowest of them.
+func (p *Planner) remaining(now time.Duration, r *run) (time.Duration, bool) {
 	if r.stopping {
-		return minRemaining
+		return outstanding(0, now-r.stoppingSince), true
+	}
+	if r.task.step.def.Perpetual {
+		return 0, false
 	}
 	if !r.task.step.def.Gang {
-		return p.remainingOwn(now, r)
+		return p.remainingOwn(now, r), true
 	}
 	longest := minRemaining
 	for _, t := range r.task.step.tasks {
@@ -31,7 +37,7 @@
 			longest = max(longest, p.remainingOwn(now, t.current))
 		}
 	}
-	return longest
+	return longest, true
 }
 
 // remainingOwn returns how much longer a run's own work is expected to take,
@@ -39,13 +45,19 @@
 func (p *Planner) remainingOwn(now time.Duration, r *run) time.Duration {
 	expected := p.expectedDuration(r.task.step)
 	if r.phase != runSeen {
-		return expected
+		return expected + max(0, now-r.assigned-overdueGrace)
 	}
 	if each, ok := r.timePerPercent(); ok {
-		return max(minRemaining, each*time.Duration(100-r.percent)-(now-r.progressAt))
+		return outstanding(each*time.Duration(100-r.percent), now-r.progressAt)
 	}
-	left := expected * time.Duration(100-r.percent) / 100
-	return max(minRemaining, left-(now-max(r.seen, r.progressAt)))
+	return outstanding(expected*time.Duration(100-r.percent)/100, now-max(r.seen, r.progressAt))
+}
+
+// outstanding returns how much of an expected time is left after a wait. What is overdue
+// is expected to be so for as long again, so that an event that never comes is not
+// expected at any moment for ever.
+func outstanding(expected, waited time.Duration) time.Duration {
+	return max(minRemaining, expected-waited, waited-expected-overdueGrace)
 }
 
 // release is the expected free capacity of a worker from a time on.
@@ -55,7 +67,7 @@
 }
 
 // releases returns the expected free capacity of a worker in order of time,
-// beginning with the current one.
+// beginning with the current one. Runs that are not expected to end release none.
 func (p *Planner) releases(now time.Duration, w *worker) []release {
 	if f := &w.releaseCache; f.at == now && f.version == w.version && f.releases != nil {
 		return f.releases
@@ -81,7 +93,9 @@
 	}
 	ends := make([]ending, 0, len(runs))
 	for _, r := range runs {
-		ends = append(ends, ending{now + p.remaining(now, r), r.need})
+		if left, expected := p.remaining(now, r); expected {
+			ends = append(ends, ending{now + left, r.need})
+		}
 	}
 	slices.SortStableFunc(ends, func(a, b ending) int { return cmp.Compare(a.at, b.at) })
 	free := w.free()
--- a/internal/core/plan/record.go
+++ b/internal/core/plan/record.go
@@ -249,13 +249,13 @@
 	r := &run{
 		task: t, number: t.lastRun, worker: w, life: chestnutpond.WorkerIncarnation{ID: l.GetId(), StartedMs: l.GetBorn()},
 		phase: runOrdered, sent: true, need: t.step.def.Reserved(), checkpoint: checkpoint,
-		ordered: p.cfg.ClaimedAt,
+		assigned: p.cfg.ClaimedAt,
 		// A former leader may have throttled it.
 		paced: t.step.def.Filler,
 	}
 	t.current, t.phase = r, taskAssigned
 	if t.step.occurrence.job.phase.Final() {
-		r.stopping = true
+		r.stopping, r.stoppingSince = true, p.cfg.ClaimedAt
 	}
 	w.add(r)
 }
--- a/internal/core/plan/repair.go
+++ b/internal/core/plan/repair.go
@@ -221,7 +221,8 @@
 // evacuate moves a run off a draining worker if it is not expected to end there in
 // time.
 func (p *Planner) evacuate(now time.Duration, r *run) {
-	if left := r.worker.exitsAt + drainGrace - now; p.remaining(now, r) > left {
+	remaining, ends := p.remaining(now, r)
+	if left := r.worker.exitsAt + drainGrace - now; !ends || remaining > left {
 		p.moveIfFits(now, r, "worker is draining")
 	}
 }
--- a/internal/core/plan/settle.go
+++ b/internal/core/plan/settle.go
@@ -126,7 +126,7 @@
 	if r.stopping {
 		return
 	}
-	r.stopping = true
+	r.stopping, r.stoppingSince = true, now
 	r.worker.version++
 	p.note(Note{Kind: NoteStopped, Job: r.job().graph.ID, Task: r.task.ref, Run: r.number, Worker: r.worker.id, Detail: reason})
 	if !r.mayExist() {
