A wait for a better worker is bounded and expects only what can come

Cause: a task that failed waits for other workers while there are enough other candidates. They counted whether or not they could ever have room, and the wait had no end. A step that waits for the rack of its data, and a gang that waits for one rack, did so beside perpetual tasks that hold the capacity there.

Ruled out: ejection, since the run failed after 2 s, and reservations, since no other job waits.

Change: a task waits 2 s at most after its failure, and only while other workers are expected to have room by then. A rack is waited for only if it can hold the unit once the runs have ended that are expected to end.

--- a/internal/core/plan/fit.go
+++ b/internal/core/plan/fit.go
@@ -12,35 +12,63 @@
 // capacityFunc returns the capacity of a worker that a search may use.
 type capacityFunc func(w *worker) chestnutpond.Resources
 
+// avoidPeriod is how long a task waits for another worker than the one on which it last
+// failed or from which it was moved.
+const avoidPeriod = 2 * time.Second
+
+// avoidWorker makes the task prefer other workers than the given one.
+func (t *task) avoidWorker(now time.Duration, id string) {
+	t.avoid, t.avoidUntil = id, now+avoidPeriod
+}
+
 // fit returns a worker for each task of the unit, or nil if the unit does not fit.
 // Slow workers and those on which a task of the unit last failed are used only if
 // it does not fit on others.
 func (p *Planner) fit(now time.Duration, u unit, free capacityFunc) []*worker {
-	healthy := func(w *worker) bool {
-		return now-w.health.slowAt >= slowPeriod && !slices.ContainsFunc(u.tasks, func(t *task) bool { return t.avoid == w.id })
-	}
-	if chosen := p.fitOn(u, p.candidates(now, u, healthy), free); chosen != nil {
+	healthy := func(w *worker) bool { return now-w.health.slowAt >= slowPeriod && !u.avoids(w) }
+	if chosen := p.fitOn(now, u, p.candidates(now, u, healthy), free); chosen != nil {
 		return chosen
 	}
 	all := p.candidates(now, u, func(*worker) bool { return true })
-	if slices.ContainsFunc(u.tasks, func(t *task) bool { return t.avoid != "" }) && len(all) > len(u.tasks) {
-		// Enough other workers may run the unit; wait until they have capacity.
-		all = slices.DeleteFunc(all, func(w *worker) bool { return u.tasks[0].avoid == w.id })
+	others := slices.DeleteFunc(slices.Clone(all), u.avoids)
+	if len(others) == len(all) {
+		return p.fitOn(now, u, all, free)
+	}
+	if chosen := p.fitOn(now, u, others, free); chosen != nil {
+		return chosen
+	}
+	if until := u.avoidUntil(); now < until && p.fitOn(now, u, others, p.availableAt(now, until)) != nil {
+		// Wait: other workers are expected to have capacity soon.
+		return nil
+	}
+	return p.fitOn(now, u, all, free)
+}
+
+// avoids reports whether a task of the unit prefers other workers than w.
+func (u unit) avoids(w *worker) bool {
+	return slices.ContainsFunc(u.tasks, func(t *task) bool { return t.avoid == w.id })
+}
+
+// avoidUntil returns the time until which the unit waits for workers that none of its
+// tasks avoids.
+func (u unit) avoidUntil() time.Duration {
+	until := time.Duration(0)
+	for _, t := range u.tasks {
+		until = max(until, t.avoidUntil)
 	}
-	return p.fitOn(u, all, free)
+	return until
 }
 
 // fitOn is fit restricted to the given workers.
-func (p *Planner) fitOn(u unit, candidates []*worker, free capacityFunc) []*worker {
+func (p *Planner) fitOn(now time.Duration, u unit, candidates []*worker, free capacityFunc) []*worker {
 	if u.step.def.SameRack && len(u.tasks) > 1 {
-		return p.fitRack(u, candidates, free)
+		return p.fitRack(now, u, candidates, free)
 	}
 	return pack(u, candidates, free)
 }
 
 // candidates returns the workers that may run the unit and that accept selects. If
-// any of them is on the rack of the step's data, it returns only those on that
-// rack.
+// those on the rack of the step's data can ever hold it, it returns only them.
 func (p *Planner) candidates(now time.Duration, u unit, accept func(w *worker) bool) []*worker {
 	def := u.step.def
 	var all []*worker
@@ -56,20 +84,20 @@
 		return all
 	}
 	near := slices.DeleteFunc(slices.Clone(all), func(w *worker) bool { return w.info.Rack != def.DataRack })
-	if len(near) == 0 {
+	if !p.canEverHold(now, u, near) {
 		return all
 	}
 	return near
 }
 
 // fitRack fits a unit on a single rack, preferring the one with the fewest free
-// accelerators. A unit that no rack could hold even when empty may span racks.
-func (p *Planner) fitRack(u unit, candidates []*worker, free capacityFunc) []*worker {
+// accelerators. A unit that no rack can ever hold may span racks.
+func (p *Planner) fitRack(now time.Duration, u unit, candidates []*worker, free capacityFunc) []*worker {
 	var best []*worker
 	var bestLeft int64
 	possible := false
 	for _, rack := range groupByRack(candidates) {
-		if pack(u, rack, totalCapacity) != nil {
+		if pack(u, rack, p.releasable(now)) != nil {
 			possible = true
 		}
 		chosen := pack(u, rack, free)
@@ -103,8 +131,25 @@
 	return racks
 }
 
-// totalCapacity is the capacityFunc of idle workers.
-func totalCapacity(w *worker) chestnutpond.Resources { return w.info.Capacity }
+// canEverHold reports whether the unit fits on the workers once all runs have ended that
+// are expected to end.
+func (p *Planner) canEverHold(now time.Duration, u unit, workers []*worker) bool {
+	free := p.releasable(now)
+	if len(u.tasks) > 1 || u.step.def.Perpetual {
+		return p.fitOn(now, u, workers, free) != nil
+	}
+	need := u.step.def.Reserved()
+	return slices.ContainsFunc(workers, func(w *worker) bool { return free(w).Covers(need) })
+}
+
+// releasable returns the capacity of workers all of whose runs have ended that are
+// expected to end.
+func (p *Planner) releasable(now time.Duration) capacityFunc {
+	return func(w *worker) chestnutpond.Resources {
+		all := p.releases(now, w)
+		return all[len(all)-1].free
+	}
+}
 
 // pack assigns each task to the worker with the least free capacity that holds it
 // (best-fit bin packing). It returns nil unless all tasks fit.
--- a/internal/core/plan/job.go
+++ b/internal/core/plan/job.go
@@ -81,6 +81,8 @@
 	notBefore time.Duration
 	// avoid is the worker on which the task last failed or from which it was moved.
 	avoid string
+	// avoidUntil is the time until which the task waits for other workers.
+	avoidUntil time.Duration
 }
 
 // runPhase is the state of a run.
--- a/internal/core/plan/repair.go
+++ b/internal/core/plan/repair.go
@@ -256,7 +256,7 @@
 
 // move stops a run so that its task is placed on another worker.
 func (p *Planner) move(now time.Duration, r *run, reason string) {
-	r.task.avoid = r.worker.id
+	r.task.avoidWorker(now, r.worker.id)
 	p.stop(now, r, reason)
 	p.stopGang(now, r.task.step, r.number)
 }
@@ -268,7 +268,7 @@
 		u.tasks = r.task.step.tasks
 	}
 	elsewhere := func(w *worker) bool { return w != r.worker }
-	if p.fitOn(u, p.candidates(now, u, elsewhere), p.available(now, u)) != nil {
+	if p.fitOn(now, u, p.candidates(now, u, elsewhere), p.available(now, u)) != nil {
 		p.move(now, r, reason)
 	}
 }
--- a/internal/core/plan/settle.go
+++ b/internal/core/plan/settle.go
@@ -91,7 +91,7 @@
 func (p *Planner) handleFailure(now time.Duration, r *run) {
 	t, s, j := r.task, r.task.step, r.job()
 	t.failures++
-	t.avoid = r.worker.id
+	t.avoidWorker(now, r.worker.id)
 	count := t.failures
 	if s.def.Gang {
 		if s.failedRun != r.number {
