The tombstones of a removed job do not start it again

Cause: the leader reads back the tombstones that it wrote. After that of the cancellation, which came first, the table still had the acceptance, and the planner, which had dropped the job, was given it as newly accepted.

Evidence: with the former decisions and new log lines, the leader of the only term logs `job removed` and 5 ms later `run placed` with run 1 for each task. That rules out a takeover without the job's state, and an old order sent again.

Change: the planner is given a job only if the table has no state of it, and the tombstone of the acceptance comes first. `run placed` and `job removed` name the record from which the leader had the job, `term begins` the active jobs and the offset read to.

--- a/internal/core/graph/codec.go
+++ b/internal/core/graph/codec.go
@@ -49,10 +49,11 @@
 	return newRecord(statePrefix+string(id), s)
 }
 
-// Tombstones returns the tombstones that remove a job.
+// Tombstones returns the tombstones that remove a job. That of the acceptance is the
+// first, so that no reader has the acceptance without the cancellation or the state.
 func Tombstones(id chestnutpond.JobID) []chestnutpond.KeyedRecord {
 	return []chestnutpond.KeyedRecord{
-		{Key: cancelPrefix + string(id)}, {Key: jobPrefix + string(id)}, {Key: statePrefix + string(id)},
+		{Key: jobPrefix + string(id)}, {Key: cancelPrefix + string(id)}, {Key: statePrefix + string(id)},
 	}
 }
 
--- a/internal/core/graph/graph.go
+++ b/internal/core/graph/graph.go
@@ -34,6 +34,21 @@
 	jobOffset, cancelOffset, stateOffset int64
 }
 
+// Source identifies the record that a job's state comes from.
+type Source struct {
+	Offset int64
+	// Epoch is that of the leader who wrote the state, 0 for an acceptance.
+	Epoch int64
+}
+
+// Source returns the record that the job's state comes from.
+func (j *Job) Source() Source {
+	if j.State != nil {
+		return Source{Offset: j.stateOffset, Epoch: j.State.GetEpoch()}
+	}
+	return Source{Offset: j.jobOffset}
+}
+
 // Phase returns the state of the job that is reported to callers.
 func (j *Job) Phase() chestnutpond.JobState {
 	if j.State != nil {
--- a/internal/core/graph/graph_test.go
+++ b/internal/core/graph/graph_test.go
@@ -189,3 +189,19 @@
 		_, _ = table.Apply(chestnutpond.KeyedRecord{Offset: 1, Key: key, Value: value})
 	})
 }
+
+// TestNoReaderHasAcceptanceAlone guards against a job that looks newly accepted between two
+// of its tombstones.
+func TestNoReaderHasAcceptanceAlone(t *testing.T) {
+	table := New()
+	for _, r := range jobRecords(t, 0, 1, 2, 3) {
+		_, err := table.Apply(r)
+		assert.NilError(t, err)
+	}
+	for i, r := range Tombstones(testJobID) {
+		r.Offset = int64(9 + i)
+		_, err := table.Apply(r)
+		assert.NilError(t, err)
+		assert.Assert(t, table.Job(testJobID) == nil, "after tombstone %d", i)
+	}
+}
--- a/internal/core/plan/decide.go
+++ b/internal/core/plan/decide.go
@@ -109,7 +109,7 @@
 		r.ticket, _ = p.ticket(now, u.step, w)
 		t.lastRun, t.current, t.phase = number, r, taskAssigned
 		w.add(r)
-		p.note(Note{Kind: NotePlaced, Job: t.ref.Job, Task: t.ref, Run: number, Worker: w.id})
+		p.note(Note{Kind: NotePlaced, Job: t.ref.Job, Task: t.ref, Run: number, Worker: w.id, Source: u.job().source})
 	}
 	j := u.job()
 	j.dirty = true
--- a/internal/core/plan/job.go
+++ b/internal/core/plan/job.go
@@ -34,6 +34,8 @@
 	ended time.Time
 	// batch is the number of the batch with the job's newest record.
 	batch int64
+	// source is the record from which this planner had the job first.
+	source graph.Source
 }
 
 // occurrence is one execution of a job's steps.
--- a/internal/core/plan/plan.go
+++ b/internal/core/plan/plan.go
@@ -26,6 +26,7 @@
 	"time"
 
 	"github.com/chestnutpond/chestnutpond"
+	"github.com/chestnutpond/chestnutpond/internal/core/graph"
 )
 
 // Config configures a Planner.
@@ -148,6 +149,9 @@
 	p.activate(j)
 }
 
+// Active returns the number of jobs that may still have runs or changes to store.
+func (p *Planner) Active() int { return len(p.active) }
+
 // Cancel cancels a job. It reports whether the planner had the job and it was not
 // final.
 func (p *Planner) Cancel(now time.Duration, id chestnutpond.JobID) bool {
@@ -194,6 +198,8 @@
 	NoteStarted NoteKind = "begun"
 	NoteEnded   NoteKind = "ended"
 	NoteWorker  NoteKind = "worker"
+	// NoteRemoved is a job whose retention is over.
+	NoteRemoved NoteKind = "removed"
 )
 
 // Note is a decision or an observed change, for logs and metrics.
@@ -204,6 +210,9 @@
 	Run    int64
 	Worker string
 	Detail string
+	// Source is set for a placed or a removed job: the record from which this planner
+	// had the job first.
+	Source graph.Source
 	// Queue, State and Took are set for a job that started or ended. Took is the
 	// time since its acceptance.
 	Queue string
--- a/internal/core/plan/record.go
+++ b/internal/core/plan/record.go
@@ -106,6 +106,8 @@
 	var records []chestnutpond.KeyedRecord
 	for _, id := range old {
 		records = append(records, graph.Tombstones(id)...)
+		j := p.jobs[id]
+		p.note(Note{Kind: NoteRemoved, Job: id, Queue: j.graph.Queue.Name, State: j.phase, Took: wall.Sub(j.ended), Source: j.source})
 		delete(p.jobs, id)
 	}
 	return records
@@ -162,13 +164,14 @@
 	return row
 }
 
-// Load adds a job from the stored table at the start of a term.
+// Load adds a job from the stored table. It does nothing if the planner has the job already.
 func (p *Planner) Load(from *graph.Job) {
 	g := from.Graph
 	if p.jobs[g.ID] != nil {
 		return
 	}
 	j := newJob(g)
+	j.source = from.Source()
 	p.jobs[g.ID] = j
 	if s := from.State; s != nil {
 		p.loadState(j, s)
--- a/internal/node/lead/claim.go
+++ b/internal/node/lead/claim.go
@@ -310,7 +310,8 @@
 	m.term.returnAppendToken()
 	m.suspicion = suspicion{}
 	m.meters.termStarted(why)
-	m.cfg.Log.Info("term begins", "epoch", epoch, "reason", why, "jobs", len(jobs), "former_grants", grants)
+	m.cfg.Log.Info("term begins", "epoch", epoch, "reason", why, "jobs", len(jobs), "active", planner.Active(),
+		"read_to", m.table.Next(), "former_grants", grants)
 	m.wakeStreams()
 	m.wakeUp()
 }
--- a/internal/node/lead/lead.go
+++ b/internal/node/lead/lead.go
@@ -157,12 +157,16 @@
 	m.table.Advance(next)
 }
 
-// updatePlanner passes a changed job to the planner of the current term.
+// updatePlanner passes a changed job to the planner of the current term. A job with a
+// state is not new to it: the planner has loaded or written the state, and has removed the
+// job if it does not have it.
 func (m *Manager) updatePlanner(j *graph.Job) {
 	if m.term == nil || j == nil {
 		return
 	}
-	m.term.planner.Accept(j.Graph)
+	if j.State == nil {
+		m.term.planner.Load(j)
+	}
 	if j.Cancelled {
 		m.term.planner.Cancel(m.cfg.Now(), j.ID)
 	}
--- a/internal/node/lead/term.go
+++ b/internal/node/lead/term.go
@@ -248,6 +248,12 @@
 		case plan.NoteEnded:
 			m.cfg.Log.Info("job ended", "job", n.Job, "queue", n.Queue, "state", n.State, "reason", n.Detail,
 				"took", n.Took, "epoch", epoch)
+		case plan.NotePlaced:
+			m.cfg.Log.Info("run placed", "job", n.Job, "task", n.Task.String(), "run", n.Run, "worker", n.Worker,
+				"record", n.Source.Offset, "record_epoch", n.Source.Epoch, "epoch", epoch)
+		case plan.NoteRemoved:
+			m.cfg.Log.Info("job removed", "job", n.Job, "queue", n.Queue, "state", n.State, "after", n.Took,
+				"record", n.Source.Offset, "record_epoch", n.Source.Epoch, "epoch", epoch)
 		case plan.NoteWorker:
 			m.cfg.Log.Info("worker changed", "worker", n.Worker, "detail", n.Detail, "epoch", epoch)
 		default:
--- a/internal/test/stand/tasks.go
+++ b/internal/test/stand/tasks.go
@@ -41,6 +41,8 @@
 	done map[chestnutpond.TaskRef]int64
 	// starts counts the runs of each task.
 	starts map[chestnutpond.TaskRef]int
+	// last has when a task was last started.
+	last map[chestnutpond.TaskRef]time.Time
 	// newest is the highest run of each task.
 	newest     map[chestnutpond.TaskRef]int64
 	violations []string
@@ -51,6 +53,7 @@
 	return &TaskFleet{
 		Model: model, live: map[chestnutpond.TaskRef][]*workerRun{},
 		done: map[chestnutpond.TaskRef]int64{}, starts: map[chestnutpond.TaskRef]int{}, newest: map[chestnutpond.TaskRef]int64{},
+		last: map[chestnutpond.TaskRef]time.Time{},
 	}
 }
 
@@ -68,6 +71,13 @@
 	return f.starts[ref]
 }
 
+// LastStart returns when a task was last started; the zero time if it never was.
+func (f *TaskFleet) LastStart(ref chestnutpond.TaskRef) time.Time {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.last[ref]
+}
+
 // Done reports whether an end of the task as done was taken note of.
 func (f *TaskFleet) Done(ref chestnutpond.TaskRef) bool {
 	f.mu.Lock()
@@ -78,6 +88,7 @@
 // started notes a run. The fleet's lock is held.
 func (f *TaskFleet) started(r *workerRun) {
 	f.starts[r.ref]++
+	f.last[r.ref] = time.Now()
 	f.newest[r.ref] = max(f.newest[r.ref], r.number)
 	for _, other := range f.live[r.ref] {
 		f.violations = append(f.violations, fmt.Sprintf("task %s runs twice: run %d on %s, run %d on %s",
