A repeated load drops the jobs and entries that were removed meanwhile

What callers would see: an entry that was cut off while a job ended and was removed, and the log trimmed, starts the job's tasks again when it leads.

Cause: a repeated load of the newest records says nothing of keys that are gone. The job stayed in the table with the state from before the cut, and an entry that had left stayed in the list of entries. A slow read could also bring a removed job back, as the table forgets its offsets.

Ruled out: the order of the tombstones; the test fails with that fault mended.

Change: the feed passes the keys of a repeated load to its receivers, which drop the others. The table ignores records that it has applied before.

--- a/internal/core/graph/graph.go
+++ b/internal/core/graph/graph.go
@@ -130,8 +130,12 @@
 
 // Apply applies a record and returns the ID of the job that it changed, or the
 // empty ID. A record that is not newer than the newest one of its key has no
-// effect.
+// effect, nor has one before Next, which was applied already: its job may have been
+// removed since.
 func (t *Table) Apply(r chestnutpond.KeyedRecord) (chestnutpond.JobID, error) {
+	if r.Offset < t.next {
+		return "", nil
+	}
 	switch r.Key {
 	case leaderKey:
 		return "", t.applyLeader(r)
@@ -199,6 +203,38 @@
 	return false, Error.New("unknown key prefix; want that of a job, cancel or state record")
 }
 
+// Retain removes what the records before the offset end have put into the table and what
+// is under none of the given keys: such records were removed while the table was not told.
+// It returns the jobs that it changed.
+func (t *Table) Retain(keys map[string]bool, end int64) []chestnutpond.JobID {
+	var changed []chestnutpond.JobID
+	for id, j := range t.jobs {
+		before := *j
+		if gone(keys, jobPrefix, id, j.jobOffset, end) {
+			j.Graph = nil
+		}
+		if gone(keys, cancelPrefix, id, j.cancelOffset, end) {
+			j.Cancelled = false
+		}
+		if gone(keys, statePrefix, id, j.stateOffset, end) {
+			j.State = nil
+		}
+		if *j == before {
+			continue
+		}
+		changed = append(changed, id)
+		if j.Graph == nil && !j.Cancelled && j.State == nil {
+			delete(t.jobs, id)
+		}
+	}
+	return changed
+}
+
+// gone reports whether a job's record before the offset end is under none of the keys.
+func gone(keys map[string]bool, prefix string, id chestnutpond.JobID, offset, end int64) bool {
+	return offset >= 0 && offset < end && !keys[prefix+string(id)]
+}
+
 func (t *Table) applyCeded(r chestnutpond.KeyedRecord) error {
 	c := &inner.CededRecord{}
 	if err := proto.Unmarshal(r.Value, c); err != nil {
--- a/internal/core/graph/graph_test.go
+++ b/internal/core/graph/graph_test.go
@@ -190,6 +190,31 @@
 	})
 }
 
+// TestRemovedJobStaysRemoved guards against a removed job that is in the table again because
+// its records are applied once more, by a read that was slower than another.
+func TestRemovedJobStaysRemoved(t *testing.T) {
+	table := New()
+	records := jobRecords(t, 0, 1, 2, 3)
+	apply := func(records []chestnutpond.KeyedRecord) {
+		for _, r := range records {
+			_, err := table.Apply(r)
+			assert.NilError(t, err)
+		}
+	}
+	apply(records)
+	table.Advance(4)
+	tombstones := Tombstones(testJobID)
+	for i := range tombstones {
+		tombstones[i].Offset = int64(4 + i)
+	}
+	apply(tombstones)
+	table.Advance(7)
+	apply(records)
+	count := 0
+	table.Jobs(func(*Job) { count++ })
+	assert.Equal(t, count, 0)
+}
+
 // TestNoReaderHasAcceptanceAlone guards against a job that looks newly accepted between two
 // of its tombstones.
 func TestNoReaderHasAcceptanceAlone(t *testing.T) {
@@ -205,3 +230,38 @@
 		assert.Assert(t, table.Job(testJobID) == nil, "after tombstone %d", i)
 	}
 }
+
+// TestRetain guards against a job that stays in the table, or is taken from it, when the
+// newest records are loaded once more.
+func TestRetain(t *testing.T) {
+	for name, c := range map[string]struct {
+		// keys are the prefixes of the job's keys that are left in the store.
+		keys string
+		end  int64
+		// known, cancelled and stated are what is left in the table.
+		known, cancelled, stated bool
+	}{
+		"all are left":          {"jcs", 9, true, true, true},
+		"job removed":           {"", 9, false, false, false},
+		"records after the end": {"", 0, true, true, true},
+		"cancellation removed":  {"js", 9, true, false, true},
+		"only state is newer":   {"", 3, false, false, true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			table := New()
+			for _, r := range jobRecords(t, 0, 1, 2, 3) {
+				_, err := table.Apply(r)
+				assert.NilError(t, err)
+			}
+			keys := map[string]bool{}
+			for _, prefix := range c.keys {
+				keys[string(prefix)+string(testJobID)] = true
+			}
+			table.Retain(keys, c.end)
+			assert.Equal(t, table.Job(testJobID) != nil, c.known)
+			j := table.jobs[testJobID]
+			assert.Equal(t, j != nil && j.Cancelled, c.cancelled)
+			assert.Equal(t, j != nil && j.State != nil, c.stated)
+		})
+	}
+}
--- a/internal/node/feed/feed.go
+++ b/internal/node/feed/feed.go
@@ -46,6 +46,10 @@
 	Apply(records []chestnutpond.KeyedRecord)
 	// Loaded is called each time all records before the offset next have been applied.
 	Loaded(next int64)
+	// Retain is called when the newest records have been loaded once more, before
+	// Loaded. Records before the offset end that are under none of the keys have been
+	// removed, and their tombstones were trimmed before they were read.
+	Retain(keys map[string]bool, end int64)
 }
 
 // Config configures a Feed.
@@ -201,6 +205,7 @@
 	began := f.cfg.Now()
 	after := ""
 	end := int64(-1)
+	keys := map[string]bool{}
 	for {
 		page, err := f.cfg.Store.Newest(ctx, f.cfg.Topic, after)
 		if err != nil {
@@ -210,11 +215,17 @@
 			end = page.End
 		}
 		f.apply(page.Records)
+		for _, r := range page.Records {
+			keys[r.Key] = true
+		}
 		if !page.More || len(page.Records) == 0 {
 			break
 		}
 		after = page.Records[len(page.Records)-1].Key
 	}
+	if f.Status().Loaded {
+		f.cfg.Receiver.Retain(keys, end)
+	}
 	f.cfg.Receiver.Loaded(end)
 	f.recordSuccess(began, end)
 	f.mu.Lock()
--- a/internal/node/feed/feed_test.go
+++ b/internal/node/feed/feed_test.go
@@ -36,6 +36,14 @@
 
 func (r *receiver) Loaded(next int64) { r.next = next }
 
+func (r *receiver) Retain(keys map[string]bool, _ int64) {
+	for key := range r.values {
+		if !keys[key] {
+			delete(r.values, key)
+		}
+	}
+}
+
 // Guards against one record that ends every process that reads it, or keeps it from the
 // records that follow.
 func TestRecordThatPanics(t *testing.T) {
@@ -80,3 +88,38 @@
 		})
 	}
 }
+
+// Guards against records that stay for good because they were removed, and the log was
+// trimmed, while the feed could not read.
+func TestRecordsRemovedWhileNotRead(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := stand.NewKeyedStore()
+		way := &stand.StoreCaller{Store: store}
+		r := &receiver{values: map[string]string{}}
+		began := time.Now()
+		f := feed.New(feed.Config{
+			Store: way, Topic: chestnutpond.TopicEntries, Receiver: r,
+			Now: func() time.Duration { return time.Since(began) + 1 }, Log: slog.New(slog.DiscardHandler),
+			Guard: guard.New(guard.Config{Log: slog.New(slog.DiscardHandler), Metrics: stats.New()}),
+		})
+		ctx, stop := context.WithCancel(t.Context())
+		done := make(chan error, 1)
+		go func() { done <- f.Run(ctx) }()
+		put := func(records ...chestnutpond.KeyedRecord) {
+			_, err := store.Append(ctx, chestnutpond.TopicEntries, chestnutpond.KeyedAppend{Records: records})
+			assert.NilError(t, err)
+		}
+		put(chestnutpond.KeyedRecord{Key: "a", Value: []byte("1")}, chestnutpond.KeyedRecord{Key: "b", Value: []byte("2")})
+		time.Sleep(time.Second)
+		assert.DeepEqual(t, r.values, map[string]string{"a": "1", "b": "2"})
+		way.SetFault(chestnutpond.StoreUnavailable)
+		time.Sleep(time.Second)
+		put(chestnutpond.KeyedRecord{Key: "a"}, chestnutpond.KeyedRecord{Key: "c", Value: []byte("3")})
+		store.Trim(chestnutpond.TopicEntries)
+		way.SetFault("")
+		time.Sleep(time.Second)
+		stop()
+		assert.NilError(t, <-done)
+		assert.DeepEqual(t, r.values, map[string]string{"b": "2", "c": "3"})
+	})
+}
--- a/internal/node/jobsvc/jobsvc.go
+++ b/internal/node/jobsvc/jobsvc.go
@@ -127,6 +127,9 @@
 // Loaded implements feed.Receiver.
 func (f *Service) Loaded(int64) {}
 
+// Retain implements feed.Receiver. A document stays in force until there is a newer one.
+func (f *Service) Retain(map[string]bool, int64) {}
+
 // setDocument replaces the document in force if the given one is newer.
 func (f *Service) setDocument(d chestnutpond.Document, offset int64) {
 	f.mu.Lock()
--- a/internal/node/lead/lead.go
+++ b/internal/node/lead/lead.go
@@ -157,6 +157,19 @@
 	m.table.Advance(next)
 }
 
+// Retain implements feed.Receiver.
+func (m *Manager) Retain(keys map[string]bool, end int64) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	removed := m.table.Retain(keys, end)
+	for _, id := range removed {
+		m.notifyWatch(id)
+	}
+	if len(removed) > 0 {
+		m.cfg.Log.Info("jobs were removed while the log was not read", "jobs", len(removed), "end", end)
+	}
+}
+
 // updatePlanner passes a changed job to the planner of the current term. A job with a
 // state is not new to it: the planner has loaded or written the state, and has removed the
 // job if it does not have it.
--- a/internal/node/roster/roster.go
+++ b/internal/node/roster/roster.go
@@ -118,6 +118,19 @@
 // Loaded implements feed.Receiver.
 func (r *Roster) Loaded(int64) {}
 
+// Retain implements feed.Receiver. It removes the entries that left while the records were
+// not read.
+func (r *Roster) Retain(keys map[string]bool, end int64) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for name, e := range r.entries {
+		if e.offset >= 0 && e.offset < end && !keys[name] {
+			delete(r.entries, name)
+			r.version++
+		}
+	}
+}
+
 // Merge merges entries received from another process. Records of the store take
 // precedence.
 func (r *Roster) Merge(entries []*inner.EntryRow) {
--- a/internal/node/roster/roster_test.go
+++ b/internal/node/roster/roster_test.go
@@ -83,3 +83,19 @@
 	r.Apply([]chestnutpond.KeyedRecord{{Key: "entry-0", Offset: 1 << 20}})
 	assert.Equal(t, len(r.Entries()), roster.MaxEntries-1)
 }
+
+// Guards against an entry that left while the records were not read, and that is used again
+// by its address.
+func TestRetain(t *testing.T) {
+	r := roster.New(roster.Config{Log: slog.New(slog.DiscardHandler)})
+	other, merged := "10.1.0.20:7000", "10.1.0.21:7000"
+	r.Apply([]chestnutpond.KeyedRecord{
+		record(t, 1, &inner.EntryRow{Name: "entry-1", Address: address, Zone: "z"}),
+		record(t, 5, &inner.EntryRow{Name: "entry-2", Address: other, Zone: "z"}),
+	})
+	r.Merge([]*inner.EntryRow{{Name: "entry-3", Address: merged, Zone: "z"}})
+	before := r.Version()
+	r.Retain(map[string]bool{}, 5)
+	assert.DeepEqual(t, r.PeerAddresses("z", "r"), []string{other, merged})
+	assert.Assert(t, r.Version() != before)
+}
--- a/internal/test/world/removal_test.go
+++ b/internal/test/world/removal_test.go
@@ -46,3 +46,33 @@
 		})
 	}
 }
+
+// Guards against a job that runs again at an entry that was cut off when the job ended and
+// was removed, and that leads later.
+func TestJobRemovedBehindACut(t *testing.T) {
+	play(t, 2*time.Second, func(t *testing.T, w *World) {
+		cut := w.Entries[0]
+		if w.Leader() == cut {
+			cut = w.Entries[1]
+		}
+		w.accept(t, w.Entries[2], jobID, tasks(4))
+		w.running(t, 4)
+		cut.CutOff()
+		cut.Way.SetFault(chestnutpond.StoreUnavailable)
+		time.Sleep(removalTime)
+		w.Store.Trim(chestnutpond.TopicWork)
+		cut.Way.SetFault("")
+		cut.Heal()
+		time.Sleep(2 * time.Second)
+		for _, e := range w.Entries {
+			if e != cut {
+				e.Kill()
+			}
+		}
+		assert.Assert(t, w.Until(5*time.Second, func() bool { return w.Leader() == cut }), "no leader")
+		time.Sleep(10 * time.Second)
+		w.startedOnce(t, jobID, 4)
+		_, v := cut.State(jobID)
+		assert.Equal(t, v.Reason, chestnutpond.ReasonUnknownJob)
+	})
+}
