A sequence that later reports contradict does not silence the worker

What callers would see: the first report that an agent receives after its start has the worker's identity, and another sender's state and sequence. The worker confirms the identity, and its own reports are then late for good.

The worker confirms who it is, and not the rest of a report.

Change: three reports in a row in ascending order, over 3 s or more, contradict a newest one that is ahead of them. Reports that were held up arrive together.

--- a/internal/node/runner/identity.go
+++ b/internal/node/runner/identity.go
@@ -22,8 +22,31 @@
 	// may increase: per second, and in addition to that.
 	maxReportRate = 100
 	reportBurst   = 100
+	// outdatedReports is how many reports in a row, over at least outdatedPeriod, may be
+	// older than the newest one before that one is taken for another sender's. Reports
+	// that were held up arrive together.
+	outdatedReports = 3
+	outdatedPeriod  = 3 * time.Second
 )
 
+// outdated are the reports in a row that were older than the newest one and in ascending
+// order.
+type outdated struct {
+	count    int
+	sequence int64
+	since    time.Duration
+}
+
+// add adds a report, and reports whether the newest one is contradicted.
+func (o *outdated) add(now time.Duration, sequence int64) bool {
+	if o.count == 0 || sequence <= o.sequence {
+		*o = outdated{since: now}
+	}
+	o.count++
+	o.sequence = sequence
+	return o.count >= outdatedReports && now-o.since >= outdatedPeriod
+}
+
 // identity is the answer to whether the worker beside the agent is a given incarnation.
 type identity int
 
@@ -80,8 +103,11 @@
 	}
 	now := a.cfg.Now()
 	if info.Sequence <= previous.Sequence {
-		// The report is late.
-		return true
+		if !a.outdated.add(now, info.Sequence) {
+			return true
+		}
+		a.cfg.Log.Warn("newest report disregarded: later ones contradict its sequence", "worker", info.ID,
+			"sequence", info.Sequence, "disregarded", previous.Sequence)
 	}
 	ahead := info.Sequence - previous.Sequence
 	if limit := reportBurst + int64(maxReportRate*(now-a.reportedAt).Seconds()); ahead > limit {
@@ -97,7 +123,7 @@
 	if previous.State != info.State {
 		a.cfg.Log.Info("worker changed its state", "worker", info.ID, "state", info.State, "remaining", info.Remaining)
 	}
-	a.worker, a.reportedAt = info, now
+	a.worker, a.reportedAt, a.outdated = info, now, outdated{}
 	if returned || previous.State != info.State {
 		a.notifyChange()
 	}
@@ -112,7 +138,7 @@
 		"rack", info.Rack, "labels", info.Labels, "cpu", info.Capacity.CPU, "memory", info.Capacity.Memory,
 		"accelerators", info.Capacity.Accelerators, "state", info.State)
 	a.resetLife(info)
-	a.worker, a.reported, a.reportedAt = info, true, a.cfg.Now()
+	a.worker, a.reported, a.reportedAt, a.outdated = info, true, a.cfg.Now(), outdated{}
 	a.left, a.departingSince = false, 0
 	a.notifyChange()
 }
--- a/internal/node/runner/runner.go
+++ b/internal/node/runner/runner.go
@@ -91,6 +91,8 @@
 	// identity; reportedAt is when the newest report arrived.
 	reported   bool
 	reportedAt time.Duration
+	// outdated are the latest reports that were older than the newest one.
+	outdated outdated
 	// left means that this incarnation of the worker has ended.
 	left bool
 	// departingSince is when a departure was announced that is not confirmed yet, or 0.
--- a/internal/test/world/identity_test.go
+++ b/internal/test/world/identity_test.go
@@ -106,3 +106,40 @@
 		w.startedOnce(t, jobID, 4)
 	})
 }
+
+// Guards against a worker that is silenced for good by the first report that its agent
+// receives, which has its identity and a sequence and state of another sender.
+func TestFirstReportOfAnotherSender(t *testing.T) {
+	playWith(t, time.Second, func(c *Config) { c.Workers = 1 }, func(t *testing.T, w *World) {
+		a := w.Agents[0]
+		a.SetQuiet(true)
+		a.Kill()
+		a.Start()
+		info := a.Worker.Info()
+		info.Sequence, info.State = 1<<52, chestnutpond.WorkerDraining
+		assert.Assert(t, a.ReportOf(info))
+		a.SetQuiet(false)
+		time.Sleep(4 * beatEvery)
+		w.accept(t, w.Entries[0], jobID, tasks(4))
+		assert.Assert(t, w.Ended(3*time.Second, jobID, chestnutpond.JobCompleted))
+		w.startedOnce(t, jobID, 4)
+	})
+}
+
+// Guards against a report of another sender that is believed because the worker does not
+// answer at that moment.
+func TestReportWhileWorkerIsMute(t *testing.T) {
+	play(t, 3*time.Second, func(t *testing.T, w *World) {
+		w.accept(t, w.Entries[0], jobID, tasks(8))
+		w.running(t, 8)
+		for _, a := range w.Agents {
+			info := a.Worker.Info()
+			info.ID, info.StartedMs = "stranger", info.StartedMs+1000
+			a.Worker.SetMute(true)
+			assert.Assert(t, !a.ReportOf(info))
+			a.Worker.SetMute(false)
+		}
+		assert.Assert(t, w.Ended(8*time.Second, jobID, chestnutpond.JobCompleted))
+		w.startedOnce(t, jobID, 8)
+	})
+}
