A record that the store rejects takes no term

A job whose acceptance does not fit was answered 503, to be sent again for ever.

Cause: a rejected append ended the term like a lost claim does, and each successor wrote the same record.

Ruled out: the other faults of an append; those of a lost claim still end the term, and a rejected leader record does.

Change: a batch that the store rejects is stored in halves, down to the records that it rejects by themselves. Their jobs end as failed, in a record without their tasks, logged and counted. An acceptance that exceeds the platform's record_bytes is rejected with 413 and both sizes.

Jobs whose states do not fit still fail; that their states are split is left.

--- a/internal/core/graph/codec.go
+++ b/internal/core/graph/codec.go
@@ -57,6 +57,15 @@
 	}
 }
 
+// JobOf returns the ID of the job that a record of the key belongs to; false if it belongs
+// to none.
+func JobOf(key string) (chestnutpond.JobID, bool) {
+	if len(key) < 2 || key == leaderKey || key == cededKey {
+		return "", false
+	}
+	return chestnutpond.JobID(key[1:]), true
+}
+
 // LeaderRecord returns the record by which an entry claims the leadership.
 func LeaderRecord(l *inner.LeaderRecord) (chestnutpond.KeyedRecord, error) {
 	return newRecord(leaderKey, l)
--- a/internal/core/plan/job.go
+++ b/internal/core/plan/job.go
@@ -30,6 +30,8 @@
 	dirty bool
 	// settled means that the job is final and that no run of it can exist any more.
 	settled bool
+	// apart means that the store rejected a record of the job.
+	apart bool
 	// ended is the wall-clock time at which the phase became final.
 	ended time.Time
 	// batch is the number of the batch with the job's newest record.
--- a/internal/core/plan/record.go
+++ b/internal/core/plan/record.go
@@ -28,6 +28,12 @@
 // Empty reports whether there is nothing to store and nothing to acknowledge.
 func (b *Batch) Empty() bool { return len(b.Records) == 0 && len(b.applied) == 0 }
 
+// WithoutEnds returns a batch that acknowledges no ended runs. The next one does.
+func (b Batch) WithoutEnds() Batch {
+	b.applied = nil
+	return b
+}
+
 // maxBatchBytes limits the size of the records of a batch; the store accepts 2 MiB
 // per call.
 const maxBatchBytes = 1 << 20
@@ -93,6 +99,20 @@
 	}
 }
 
+// SetApart ends a job whose record the store rejects, in a record that holds none of its
+// tasks. The job's runs are stopped.
+func (p *Planner) SetApart(now time.Duration, id chestnutpond.JobID) {
+	j := p.jobs[id]
+	if j == nil || j.apart {
+		return
+	}
+	j.apart, j.dirty = true, true
+	if !j.phase.Final() {
+		p.finish(now, j, chestnutpond.JobFailed, "its state exceeds what the store accepts")
+	}
+	p.checkSettled(now, j)
+}
+
 // purge removes settled jobs whose retention time is over, and returns the records
 // that delete them.
 func (p *Planner) purge(wall time.Time) []chestnutpond.KeyedRecord {
@@ -122,7 +142,7 @@
 	if !j.ended.IsZero() {
 		s.EndedMs = j.ended.UnixMilli()
 	}
-	if j.settled {
+	if j.settled || j.apart {
 		return s
 	}
 	lives := map[chestnutpond.WorkerIncarnation]int32{}
--- a/internal/node/fleet/entry.go
+++ b/internal/node/fleet/entry.go
@@ -34,6 +34,8 @@
 	// for records of other kinds.
 	ParseDocument func(key string, value []byte) (chestnutpond.Document, bool, error)
 	Wall          func() time.Time
+	// MaxRecord bounds a record of the store in bytes; zero means no bound.
+	MaxRecord int
 	// Retention is how long an ended job stays visible.
 	Retention      time.Duration
 	RemoteSlowdown float64
@@ -68,7 +70,7 @@
 	})
 	e.front = jobsvc.New(jobsvc.Config{
 		Store: e.store, StoreLatency: e.store.Health, Lead: e.manager, ParseDocument: c.ParseDocument, Now: c.Now, WallClock: c.Wall,
-		Log: c.Logs.Logger("front"), Metrics: e.base.Metrics, Guard: e.guard,
+		Log: c.Logs.Logger("front"), Metrics: e.base.Metrics, Guard: e.guard, MaxRecord: c.MaxRecord,
 	})
 	e.addAgeGauge(chestnutpond.TopicWork, e.manager.Feed())
 	e.addAgeGauge(chestnutpond.TopicDesired, e.front.Feed())
--- a/internal/node/jobsvc/jobsvc.go
+++ b/internal/node/jobsvc/jobsvc.go
@@ -10,6 +10,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"log/slog"
 	"sync"
 	"time"
@@ -72,6 +73,8 @@
 	Metrics *stats.Registry
 	// Guard contains panics.
 	Guard *guard.Guard
+	// MaxRecord bounds a record of the store in bytes; zero means no bound.
+	MaxRecord int
 }
 
 // Service implements chestnutpond.GraphService for an entry. It is safe for concurrent use.
@@ -182,6 +185,13 @@
 	return chestnutpond.CallResult{Outcome: chestnutpond.OutcomeNotRun, Reason: r, RetryAfter: retryAfter}
 }
 
+// tooLarge rejects a job whose record exceeds the limit of the store.
+func tooLarge(size, limit int) chestnutpond.CallResult {
+	v := verdict(chestnutpond.OutcomeRejected, chestnutpond.ReasonBodyTooLarge)
+	v.Detail = fmt.Sprintf("the job takes %d bytes in the store; allowed are at most %d", size, limit)
+	return v
+}
+
 // Submit implements chestnutpond.GraphService.
 func (f *Service) Submit(ctx context.Context, target chestnutpond.RouteTarget, g chestnutpond.Graph) chestnutpond.CallResult {
 	if _, known := f.cfg.Lead.Job(g.ID); known {
@@ -196,6 +206,10 @@
 	if err != nil {
 		return verdict(chestnutpond.OutcomeRejected, chestnutpond.ReasonBadBody)
 	}
+	if size := record.Size(); f.cfg.MaxRecord > 0 && size > f.cfg.MaxRecord {
+		f.cfg.Log.Warn("job rejected: its record is too large", "job", g.ID, "account", g.Account, "bytes", size, "limit", f.cfg.MaxRecord)
+		return tooLarge(size, f.cfg.MaxRecord)
+	}
 	began := f.cfg.Now()
 	fault, err := f.storeRecord(ctx, record)
 	took := f.cfg.Now() - began
@@ -208,6 +222,9 @@
 			"data_rack", first.DataRack, "label", first.Label, "per_worker", first.PerWorker, "checkpointable", first.Checkpointable,
 			"estimate", first.Estimate, "occurrences", g.Occurrences(), "took", took)
 		return verdict(chestnutpond.OutcomeAccepted, "")
+	case fault == chestnutpond.StoreRejected:
+		f.cfg.Log.Warn("job rejected by the store", "job", g.ID, "account", g.Account, "bytes", record.Size(), "error", err)
+		return verdict(chestnutpond.OutcomeRejected, chestnutpond.ReasonBodyTooLarge)
 	case fault == chestnutpond.StoreInDoubt:
 		f.cfg.Log.Warn("job in doubt", "job", g.ID, "account", g.Account, "took", took, "error", err)
 		return verdict(chestnutpond.OutcomeUnknown, chestnutpond.ReasonLogUnavailable)
--- a/internal/node/lead/metrics.go
+++ b/internal/node/lead/metrics.go
@@ -15,6 +15,8 @@
 	// decide measures a scheduling round, append the storing of its records.
 	decide, append *stats.Seconds
 	leads, agents  metrics.Gauge
+	// rejected counts the records that the store rejected.
+	rejected metrics.Counter
 	// queues has the gauges of waiting jobs that have been set.
 	queues map[plan.QueueAccount]metrics.Gauge
 	// waiting and running count jobs; usable, ejected and away count workers.
@@ -36,6 +38,7 @@
 		append:   r.Seconds("lead_append_seconds", "Time until the records of a round were stored."),
 		leads:    r.Gauge("lead_leads", "1 while this entry leads."),
 		agents:   r.Gauge("lead_agents", "Agents that report to this entry."),
+		rejected: r.Counter("lead_rejected_records_total", "Records that the store rejected."),
 	}
 }
 
--- a/internal/node/lead/term.go
+++ b/internal/node/lead/term.go
@@ -56,11 +56,37 @@
 		t.inDoubt = nil
 	}
 	t.inDoubt = records
-	if err := t.appendWithRetry(ctx, store, records); err != nil {
-		return err
+	err := t.appendWithRetry(ctx, store, records)
+	if err == nil || isRejected(err) {
+		// A rejected append is never carried out.
+		t.inDoubt = nil
 	}
-	t.inDoubt = nil
-	return nil
+	return err
+}
+
+// appendAccepted is append. If the store rejects the records, it stores those that the
+// store accepts by themselves, and returns the others.
+func (t *term) appendAccepted(ctx context.Context, store chestnutpond.Store, records []chestnutpond.KeyedRecord) ([]chestnutpond.KeyedRecord, error) {
+	err := t.append(ctx, store, records)
+	if err == nil || !isRejected(err) {
+		return nil, err
+	}
+	if len(records) == 1 {
+		return records, nil
+	}
+	half := len(records) / 2
+	rejected, err := t.appendAccepted(ctx, store, records[:half])
+	if err != nil {
+		return nil, err
+	}
+	more, err := t.appendAccepted(ctx, store, records[half:])
+	return append(rejected, more...), err
+}
+
+// isRejected reports whether the store rejected an append as invalid.
+func isRejected(err error) bool {
+	var failed *chestnutpond.StoreError
+	return errors.As(err, &failed) && failed.Fault == chestnutpond.StoreRejected
 }
 
 func (t *term) appendWithRetry(ctx context.Context, store chestnutpond.Store, records []chestnutpond.KeyedRecord) error {
@@ -136,10 +162,16 @@
 		m.cfg.Log.Error("cannot encode the records of a round", "error", err)
 		return
 	}
-	if err := m.storeRecords(ctx, t, now, batch.Records); err != nil {
+	rejected, err := m.storeRecords(ctx, t, now, batch.Records)
+	if err != nil {
 		m.loseTerm(ctx, t, err)
 		return
 	}
+	if len(rejected) > 0 {
+		m.setApart(t, rejected)
+		// The ends that the rejected records hold are not stored.
+		batch = batch.WithoutEnds()
+	}
 	m.batchStored(t, batch)
 	pause(ctx, min(roundPauseFactor*took, maxRoundPause))
 }
@@ -173,8 +205,24 @@
 	}
 }
 
-// storeRecords appends the records, and the leader record when a heartbeat is due.
-func (m *Manager) storeRecords(ctx context.Context, t *term, now time.Duration, records []chestnutpond.KeyedRecord) error {
+// setApart has the planner set the jobs apart whose records the store rejected, so that
+// they hold up no others.
+func (m *Manager) setApart(t *term, rejected []chestnutpond.KeyedRecord) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	for _, r := range rejected {
+		id, _ := graph.JobOf(r.Key)
+		m.cfg.Log.Error("record rejected by the store, its job is set apart", "job", id, "key", r.Key, "bytes", r.Size(), "epoch", t.epoch)
+		m.meters.rejected.Inc(1)
+		if m.term == t {
+			t.planner.SetApart(m.cfg.Now(), id)
+		}
+	}
+}
+
+// storeRecords appends the records, and the leader record when a heartbeat is due. It
+// returns the records that the store rejects.
+func (m *Manager) storeRecords(ctx context.Context, t *term, now time.Duration, records []chestnutpond.KeyedRecord) ([]chestnutpond.KeyedRecord, error) {
 	<-t.appendToken
 	defer t.returnAppendToken()
 	if now-t.lastHeartbeat >= heartbeatInterval {
@@ -183,21 +231,29 @@
 			FormerMs: m.formerGrantsLeft(t).Milliseconds(),
 		})
 		if err != nil {
-			return err
+			return nil, err
 		}
 		records = append(records, heartbeat)
 		t.lastHeartbeat = now
 	}
 	if len(records) == 0 {
-		return nil
+		return nil, nil
 	}
 	began := m.cfg.Now()
-	if err := t.append(ctx, m.cfg.Store, records); err != nil {
-		return err
+	rejected, err := t.appendAccepted(ctx, m.cfg.Store, records)
+	if err != nil {
+		return nil, err
+	}
+	for _, r := range rejected {
+		if _, ok := graph.JobOf(r.Key); !ok {
+			return nil, Error.New("record %q of %d bytes is rejected", r.Key, r.Size())
+		}
 	}
 	m.meters.append.Observe(m.since(began))
-	m.confirmClaim(t, now)
-	return nil
+	if len(rejected) < len(records) {
+		m.confirmClaim(t, now)
+	}
+	return rejected, nil
 }
 
 // confirmClaim records that a call that was sent at the given time confirmed the
--- a/internal/node/rest/rest.go
+++ b/internal/node/rest/rest.go
@@ -136,8 +136,9 @@
 
 // rejectionStatuses maps reasons to HTTP statuses. Other rejections are bad requests.
 var rejectionStatuses = map[chestnutpond.Reason]int{
-	chestnutpond.ReasonUnknownKind: http.StatusNotFound,
-	chestnutpond.ReasonUnknownJob:  http.StatusNotFound,
+	chestnutpond.ReasonUnknownKind:  http.StatusNotFound,
+	chestnutpond.ReasonUnknownJob:   http.StatusNotFound,
+	chestnutpond.ReasonBodyTooLarge: http.StatusRequestEntityTooLarge,
 }
 
 // writeVerdict writes the response for a result other than success.
--- a/internal/test/stand/keyed.go
+++ b/internal/test/stand/keyed.go
@@ -15,6 +15,9 @@
 type KeyedStore struct {
 	// Delay is the time that a call takes.
 	Delay time.Duration
+	// MaxRecord and MaxCall bound a record and the records of a call in bytes; larger ones
+	// are rejected. Zero means no bound.
+	MaxRecord, MaxCall int
 
 	mu     sync.Mutex
 	topics map[chestnutpond.Topic]*keyedTopic
@@ -129,6 +132,9 @@
 func (s *KeyedStore) appendNow(topic chestnutpond.Topic, a chestnutpond.KeyedAppend) (int64, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if err := s.checkSize(a.Records); err != nil {
+		return 0, err
+	}
 	t := s.topic(topic)
 	if p := a.Producer; p != nil {
 		if offset, known, err := t.admit(p); known || err != nil {
@@ -156,6 +162,19 @@
 	return first, nil
 }
 
+// checkSize rejects records that are too large.
+func (s *KeyedStore) checkSize(records []chestnutpond.KeyedRecord) error {
+	sum := 0
+	for _, r := range records {
+		size := 1 + len(r.Key) + len(r.Value)
+		sum += size
+		if s.MaxRecord > 0 && size > s.MaxRecord || s.MaxCall > 0 && sum > s.MaxCall {
+			return &chestnutpond.StoreError{Fault: chestnutpond.StoreRejected, Err: Class.New("record %q: %d of %d bytes", r.Key, size, sum)}
+		}
+	}
+	return nil
+}
+
 // admit checks a producer's append; known means that it is a repeat.
 func (t *keyedTopic) admit(p *chestnutpond.Producer) (int64, bool, error) {
 	state := t.producers[p.Name]
--- a/internal/test/world/world.go
+++ b/internal/test/world/world.go
@@ -30,6 +30,9 @@
 	// beatEvery is how often workers report.
 	beatEvery = 1500 * time.Millisecond
 	service   = "cotizador"
+	// maxRecord and maxCall are the store's bounds of a record and a call in bytes.
+	maxRecord = 256 << 10
+	maxCall   = 2 << 20
 )
 
 // Config configures a World.
@@ -48,6 +51,8 @@
 	Adviser chestnutpond.Adviser
 	// Out receives the logs; nil drops them.
 	Out io.Writer
+	// MaxRecord bounds a record of the store in bytes; zero means that of the platform.
+	MaxRecord int
 	// Wall is the entries' time of day; nil means that of the machine.
 	Wall func() time.Time
 }
@@ -100,6 +105,9 @@
 	if c.Wall == nil {
 		c.Wall = time.Now
 	}
+	if c.MaxRecord == 0 {
+		c.MaxRecord = maxRecord
+	}
 	if c.Racks == 0 {
 		c.Racks = 1
 	}
@@ -111,6 +119,7 @@
 		began: time.Now(),
 	}
 	w.Store.Delay = 5 * time.Millisecond
+	w.Store.MaxRecord, w.Store.MaxCall = c.MaxRecord, maxCall
 	w.Publish(c.Document)
 	for i := range c.Entries {
 		e := &Entry{world: w, Name: fmt.Sprintf("entry-%d", i+1), Way: &stand.StoreCaller{Store: w.Store}}
@@ -178,7 +187,7 @@
 	ctx, stop := context.WithCancel(w.ctx)
 	node := fleet.NewEntry(fleet.EntryConfig{
 		Base: w.base(e.Name, e.Way, w.net.listen(e.Name)), ParseDocument: w.parse, Wall: w.cfg.Wall,
-		Retention: 2 * time.Minute, RemoteSlowdown: 3, RestoreTime: 100 * time.Millisecond, Adviser: w.cfg.Adviser,
+		MaxRecord: w.cfg.MaxRecord, Retention: 2 * time.Minute, RemoteSlowdown: 3, RestoreTime: 100 * time.Millisecond, Adviser: w.cfg.Adviser,
 	})
 	done := make(chan struct{})
 	e.node, e.stop, e.done = node, stop, done
--- a/internal/tool/launch/fleet.go
+++ b/internal/tool/launch/fleet.go
@@ -192,7 +192,7 @@
 	s := p.settings
 	c := fleet.EntryConfig{
 		Base: p.base, ParseDocument: platform.ParseDesired, Wall: time.Now,
-		Retention: s.Retention, RemoteSlowdown: s.RemoteSlowdown, RestoreTime: s.RestoreTime,
+		MaxRecord: s.MaxRecord, Retention: s.Retention, RemoteSlowdown: s.RemoteSlowdown, RestoreTime: s.RestoreTime,
 	}
 	if s.Advice != "" {
 		c.Adviser = platform.NewAdviser(s.Advice)
--- a/service.go
+++ b/service.go
@@ -28,6 +28,8 @@
 	Outcome Outcome
 	// Reason is set unless the call succeeded.
 	Reason Reason
+	// Detail explains a rejection to the caller; it may be empty.
+	Detail string
 	// RetryAfter is the delay after which a call that was not run may be retried;
 	// zero if unknown.
 	RetryAfter time.Duration
--- a/store.go
+++ b/store.go
@@ -41,6 +41,12 @@
 	Sequence int64
 }
 
+// Size returns the size of the record in the store in bytes.
+func (r *KeyedRecord) Size() int { return keyLengthSize + len(r.Key) + len(r.Value) }
+
+// keyLengthSize is the size in bytes of the length of a key in the store.
+const keyLengthSize = 1
+
 // KeyedAppend is an atomic append of records.
 type KeyedAppend struct {
 	// Records have no offsets; the store assigns them.
