The states of large jobs are split, and what grows with a job is bounded

Cause: a job's state was one record. By reading, other things grow with a job without a bound: orders to start, which a message repeats with their payloads, the runs that a report lists, and a comparison of each run with all others of its step.

Ruled out: splitting the bytes of the state. A change would rewrite all of them, and two versions would have to be kept until a new one is whole.

Change: the states of jobs of more than 1,000 tasks are in records of 512 tasks of a step. A change rewrites those that changed; they are stored with or after the state that says which steps are done, and removed after it. A worker has at most 4,096 runs and 6 MiB of orders, an agent at most 256 starts, or 1 MiB, that its worker does not list yet. A batch removes at most 1,000 jobs. The median rate of a step is computed once an inspection for each worker, and the order of a worker's runs once a change.

--- a/graph.go
+++ b/graph.go
@@ -192,6 +192,15 @@
 	return TaskRef{Job: JobID(parts[0]), Occurrence: numbers[0], Step: numbers[1], Index: numbers[2]}, nil
 }
 
+// TotalTasks returns the number of tasks of all steps and occurrences.
+func (g *Graph) TotalTasks() int {
+	tasks := 0
+	for i := range g.Steps {
+		tasks += g.Steps[i].Count
+	}
+	return tasks * g.Occurrences()
+}
+
 // Check validates the graph and returns an error that describes the first invalid
 // field.
 func (g *Graph) Check() error {
@@ -209,11 +218,7 @@
 	if g.Schedule.Repetitions > MaxRepetitions {
 		return Error.New("schedule: %d repetitions; allowed are at most %d", g.Schedule.Repetitions, MaxRepetitions)
 	}
-	tasks := 0
-	for i := range g.Steps {
-		tasks += g.Steps[i].Count
-	}
-	if total := tasks * g.Occurrences(); total > MaxTotalTasks {
+	if total := g.TotalTasks(); total > MaxTotalTasks {
 		return Error.New("%d tasks in all steps and repetitions; allowed are at most %d", total, MaxTotalTasks)
 	}
 	return nil
--- a/internal/core/graph/codec.go
+++ b/internal/core/graph/codec.go
@@ -1,6 +1,7 @@
 package graph
 
 import (
+	"strings"
 	"time"
 
 	"github.com/zeebo/errs"
@@ -18,6 +19,7 @@
 	jobPrefix    = "j"
 	cancelPrefix = "c"
 	statePrefix  = "s"
+	partPrefix   = "t"
 	leaderKey    = "leader"
 	cededKey     = "ceded"
 )
@@ -63,7 +65,11 @@
 	if len(key) < 2 || key == leaderKey || key == cededKey {
 		return "", false
 	}
-	return chestnutpond.JobID(key[1:]), true
+	id := key[1:]
+	if key[:1] == partPrefix {
+		id, _, _ = strings.Cut(id, ".")
+	}
+	return chestnutpond.JobID(id), id != ""
 }
 
 // LeaderRecord returns the record by which an entry claims the leadership.
--- a/internal/core/graph/graph.go
+++ b/internal/core/graph/graph.go
@@ -29,6 +29,9 @@
 	Cancelled bool
 	// State is nil until a state written by the leader is applied.
 	State *inner.StateRecord
+	// Parts has the states of the tasks that the state leaves out. It is nil unless the
+	// job has many tasks.
+	Parts map[PartRef]Part
 
 	// The offsets of the newest record of each key, -1 if there is none.
 	jobOffset, cancelOffset, stateOffset int64
@@ -142,11 +145,11 @@
 	case cededKey:
 		return "", t.applyCeded(r)
 	}
-	if len(r.Key) < 2 {
+	id, ok := JobOf(r.Key)
+	if !ok {
 		t.malformed++
 		return "", Error.New("record at offset %d: key %q is not a prefix followed by a job ID", r.Offset, r.Key)
 	}
-	id := chestnutpond.JobID(r.Key[1:])
 	j := t.jobs[id]
 	if j == nil {
 		j = &Job{ID: id, jobOffset: -1, cancelOffset: -1, stateOffset: -1}
@@ -160,12 +163,17 @@
 		return "", nil
 	}
 	t.jobs[id] = j
-	if j.Graph == nil && !j.Cancelled && j.State == nil {
+	if j.empty() {
 		delete(t.jobs, id)
 	}
 	return id, nil
 }
 
+// empty reports whether no record of the job is left.
+func (j *Job) empty() bool {
+	return j.Graph == nil && !j.Cancelled && j.State == nil && len(j.Parts) == 0
+}
+
 func (j *Job) apply(r chestnutpond.KeyedRecord) (bool, error) {
 	switch prefix := r.Key[:1]; {
 	case prefix == jobPrefix && r.Offset > j.jobOffset:
@@ -197,10 +205,12 @@
 		}
 		j.State, j.stateOffset = s, r.Offset
 		return true, nil
+	case prefix == partPrefix:
+		return j.applyPart(r)
 	case strings.Contains(jobPrefix+cancelPrefix+statePrefix, prefix):
 		return false, nil
 	}
-	return false, Error.New("unknown key prefix; want that of a job, cancel or state record")
+	return false, Error.New("unknown key prefix; want that of a job, cancel, state or tasks record")
 }
 
 // Retain removes what the records before the offset end have put into the table and what
@@ -209,21 +219,21 @@
 func (t *Table) Retain(keys map[string]bool, end int64) []chestnutpond.JobID {
 	var changed []chestnutpond.JobID
 	for id, j := range t.jobs {
-		before := *j
-		if gone(keys, jobPrefix, id, j.jobOffset, end) {
-			j.Graph = nil
+		removed := j.retainParts(keys, end)
+		if j.Graph != nil && gone(keys, jobPrefix, id, j.jobOffset, end) {
+			j.Graph, removed = nil, true
 		}
-		if gone(keys, cancelPrefix, id, j.cancelOffset, end) {
-			j.Cancelled = false
+		if j.Cancelled && gone(keys, cancelPrefix, id, j.cancelOffset, end) {
+			j.Cancelled, removed = false, true
 		}
-		if gone(keys, statePrefix, id, j.stateOffset, end) {
-			j.State = nil
+		if j.State != nil && gone(keys, statePrefix, id, j.stateOffset, end) {
+			j.State, removed = nil, true
 		}
-		if *j == before {
+		if !removed {
 			continue
 		}
 		changed = append(changed, id)
-		if j.Graph == nil && !j.Cancelled && j.State == nil {
+		if j.empty() {
 			delete(t.jobs, id)
 		}
 	}
--- a/internal/core/graph/view.go
+++ b/internal/core/graph/view.go
@@ -1,6 +1,9 @@
 package graph
 
-import "github.com/chestnutpond/chestnutpond"
+import (
+	"github.com/chestnutpond/chestnutpond"
+	"github.com/chestnutpond/chestnutpond/internal/wire/inner"
+)
 
 // The states of a task in a StateRecord.
 const (
@@ -36,14 +39,16 @@
 			if i >= len(occurrence.GetSteps()) {
 				continue
 			}
-			for _, t := range occurrence.GetSteps()[i].GetTasks() {
-				switch t.GetState() {
-				case TaskAssigned:
-					v.Running++
-				case TaskDone:
-					v.Done++
+			j.taskRows(int(occurrence.GetNumber()), i, occurrence.GetSteps()[i], func(tasks []*inner.TaskRow) {
+				for _, t := range tasks {
+					switch t.GetState() {
+					case TaskAssigned:
+						v.Running++
+					case TaskDone:
+						v.Done++
+					}
 				}
-			}
+			})
 		}
 	}
 	return v
--- a/internal/core/plan/decide.go
+++ b/internal/core/plan/decide.go
@@ -85,7 +85,7 @@
 func (p *Planner) anyFree(u unit) bool {
 	need := u.step.def.Reserved()
 	return slices.ContainsFunc(p.sortedWorkers, func(w *worker) bool {
-		return w.usable() && w.info.Service == u.job().graph.Queue.Service && w.free().Covers(need)
+		return w.usable() && w.info.Service == u.job().graph.Queue.Service && !w.full(u, 0) && w.free().Covers(need)
 	})
 }
 
--- a/internal/core/plan/fit.go
+++ b/internal/core/plan/fit.go
@@ -157,7 +157,8 @@
 	def := u.step.def
 	need := def.Reserved()
 	taken := map[*worker]chestnutpond.Resources{}
-	count := map[*worker]int{}
+	// count has the tasks of the step on each worker, added those of the unit.
+	count, added := map[*worker]int{}, map[*worker]int{}
 	if def.PerWorker > 0 {
 		for _, t := range u.step.tasks {
 			if t.current != nil {
@@ -171,7 +172,7 @@
 		var bestLeft chestnutpond.Resources
 		for _, w := range candidates {
 			left := free(w).Minus(taken[w])
-			if !left.Covers(need) || def.PerWorker > 0 && count[w] >= def.PerWorker {
+			if !left.Covers(need) || def.PerWorker > 0 && count[w] >= def.PerWorker || w.full(u, added[w]) {
 				continue
 			}
 			if best == nil || betterFit(t, w, left, best, bestLeft) {
@@ -183,6 +184,7 @@
 		}
 		taken[best] = taken[best].Plus(need)
 		count[best]++
+		added[best]++
 		chosen = append(chosen, best)
 	}
 	return chosen
--- a/internal/core/plan/job.go
+++ b/internal/core/plan/job.go
@@ -34,8 +34,14 @@
 	apart bool
 	// ended is the wall-clock time at which the phase became final.
 	ended time.Time
-	// batch is the number of the batch with the job's newest record.
-	batch int64
+	// split means that the states of the job's tasks are in records of their own.
+	split bool
+	// parts has the newest record of each part that is in the store; the value is nil if
+	// it is not known.
+	parts map[graph.PartRef][]byte
+	// wholeState means that the stored state still holds the tasks of a split job, as
+	// earlier versions wrote it. The first records that replace it are written together.
+	wholeState bool
 	// source is the record from which this planner had the job first.
 	source graph.Source
 }
@@ -155,7 +161,10 @@
 }
 
 func newJob(g *chestnutpond.Graph) *job {
-	return &job{graph: g, phase: chestnutpond.JobQueued}
+	return &job{
+		graph: g, phase: chestnutpond.JobQueued,
+		split: g.TotalTasks() > maxInlineTasks, parts: map[graph.PartRef][]byte{},
+	}
 }
 
 // newOccurrence returns an occurrence whose tasks are all waiting.
--- a/internal/core/plan/orders.go
+++ b/internal/core/plan/orders.go
@@ -7,6 +7,30 @@
 	"github.com/chestnutpond/chestnutpond"
 )
 
+const (
+	// maxOutstandingStarts and maxOutstandingBytes limit the starts of a worker that are
+	// handed out before it lists them, which each message to its agent repeats.
+	maxOutstandingStarts = 256
+	maxOutstandingBytes  = 1 << 20
+	// startRowBytes is about the size of a start without its payload.
+	startRowBytes = 100
+)
+
+// orderBytes returns about the size of an order to start a task of the job.
+func orderBytes(j *job) int { return startRowBytes + len(j.graph.Payload) }
+
+// startBudget is what is left of these limits.
+type startBudget struct {
+	runs, bytes int
+}
+
+func (b *startBudget) left() bool { return b.runs > 0 && b.bytes > 0 }
+
+func (b *startBudget) take(r *run) {
+	b.runs--
+	b.bytes -= orderBytes(r.job())
+}
+
 // Orders is the desired state of a worker. It is complete: whatever it no longer
 // contains is no longer wanted.
 type Orders struct {
@@ -52,6 +76,7 @@
 	if w == nil || !w.reported {
 		return Orders{}, false
 	}
+	budget := startBudget{runs: maxOutstandingStarts, bytes: maxOutstandingBytes}
 	o := Orders{Life: w.life, Fence: p.fence(w), Acknowledged: w.storedSeq, Paces: w.paces()}
 	free := w.info.Capacity
 	runs := w.sortedRuns()
@@ -59,6 +84,9 @@
 		if r.mayExist() {
 			free = free.Minus(r.need)
 		}
+		if r.phase == runOrdered && r.sent {
+			budget.take(r)
+		}
 	}
 	for _, r := range runs {
 		if r.life != w.life {
@@ -67,10 +95,11 @@
 		switch {
 		case r.stopping && r.mayExist():
 			o.Stops = append(o.Stops, RunRef{r.task.ref, r.number})
-		case r.phase == runOrdered && (r.sent || free.Covers(r.need)):
+		case r.phase == runOrdered && (r.sent || free.Covers(r.need) && budget.left()):
 			if !r.sent {
 				r.sent = true
 				free = free.Minus(r.need)
+				budget.take(r)
 			}
 			o.Starts = append(o.Starts, StartRun{
 				RunRef: RunRef{r.task.ref, r.number}, Payload: r.job().graph.Payload, Checkpoint: r.checkpoint,
--- a/internal/core/plan/plan.go
+++ b/internal/core/plan/plan.go
@@ -88,6 +88,9 @@
 	// predictions caches expected durations in the current round. It is cleared
 	// when the statistics change.
 	predictions map[*step]time.Duration
+	// medianRates caches the rates of progress that runs are compared with, in the current
+	// inspection.
+	medianRates map[stepOnWorker]float64
 	// reserved has the capacity reserved for waiting units in the current round.
 	// reservations counts the units that reserveEarliest has reserved it for.
 	reserved     map[*worker][]reservation
@@ -123,7 +126,7 @@
 		workers:  map[string]*worker{},
 		stats:    map[string]*queueStats{},
 
-		predictions: map[*step]time.Duration{},
+		predictions: map[*step]time.Duration{}, medianRates: map[stepOnWorker]float64{},
 
 		reserved:   map[*worker][]reservation{},
 		capacities: map[string]chestnutpond.Resources{},
--- a/internal/core/plan/preempt.go
+++ b/internal/core/plan/preempt.go
@@ -133,7 +133,7 @@
 		var bestVictims []*run
 		var bestCost float64
 		for _, w := range candidates {
-			if limit := u.step.def.PerWorker; limit > 0 && count[w] >= limit {
+			if limit := u.step.def.PerWorker; limit > 0 && count[w] >= limit || w.full(u, count[w]) {
 				continue
 			}
 			free := w.free().Minus(taken[w])
--- a/internal/core/plan/record.go
+++ b/internal/core/plan/record.go
@@ -56,18 +56,16 @@
 		if j.phase.Final() && j.ended.IsZero() {
 			j.ended = wall
 		}
-		r, err := graph.StateRecord(j.graph.ID, p.encode(j))
+		records, all, err := p.records(j, maxBatchBytes-size)
 		if err != nil {
 			return Batch{}, err
 		}
-		b.Records = append(b.Records, r)
-		size += len(r.Value)
-		j.dirty, j.batch = false, p.lastBatch
-		for _, r := range j.runs() {
-			if r.phase == runDecided {
-				r.batch = p.lastBatch
-			}
+		for _, r := range records {
+			size += r.Size()
 		}
+		b.Records = append(b.Records, records...)
+		j.dirty = !all
+		complete = complete && all
 	}
 	if complete {
 		for _, w := range p.sortedWorkers {
@@ -80,6 +78,30 @@
 	return b, nil
 }
 
+// records returns the records of what changed of a job, about as many as fit in the given
+// size; the second result is false if they are not all.
+func (p *Planner) records(j *job, size int) ([]chestnutpond.KeyedRecord, bool, error) {
+	state, err := graph.StateRecord(j.graph.ID, p.encode(j))
+	if err != nil {
+		return nil, false, err
+	}
+	records := []chestnutpond.KeyedRecord{state}
+	if j.split {
+		return p.addParts(j, records, size-state.Size())
+	}
+	for _, r := range j.runs() {
+		p.markRecorded(r)
+	}
+	return records, true, nil
+}
+
+// markRecorded records that the current batch has the record of a run.
+func (p *Planner) markRecorded(r *run) {
+	if r.phase == runDecided {
+		r.batch = p.lastBatch
+	}
+}
+
 // BatchStored records that a batch is in the store. The starts in it then appear in
 // Orders, and its ended runs are acknowledged.
 func (p *Planner) BatchStored(b Batch) {
@@ -113,6 +135,9 @@
 	p.checkSettled(now, j)
 }
 
+// maxPurged limits the jobs that a batch removes.
+const maxPurged = 1000
+
 // purge removes settled jobs whose retention time is over, and returns the records
 // that delete them.
 func (p *Planner) purge(wall time.Time) []chestnutpond.KeyedRecord {
@@ -123,6 +148,7 @@
 		}
 	}
 	slices.Sort(old)
+	old = old[:min(len(old), maxPurged)]
 	var records []chestnutpond.KeyedRecord
 	for _, id := range old {
 		records = append(records, graph.Tombstones(id)...)
@@ -145,43 +171,58 @@
 	if j.settled || j.apart {
 		return s
 	}
-	lives := map[chestnutpond.WorkerIncarnation]int32{}
-	index := func(l chestnutpond.WorkerIncarnation) int32 {
-		if i, ok := lives[l]; ok {
-			return i
-		}
-		s.Lives = append(s.Lives, &inner.LifeRow{Id: l.ID, Born: l.StartedMs, Agent: p.worker(l.ID).agent})
-		lives[l] = int32(len(s.Lives))
-		return lives[l]
-	}
+	lives := p.newLifeIndex()
 	for _, o := range j.occurrences {
 		row := &inner.OccurrenceRow{Number: int32(o.number), Done: o.done}
 		if !o.done {
 			for _, st := range o.steps {
-				row.Steps = append(row.Steps, encodeStep(st, index))
+				step := &inner.StepRow{Done: st.done, Failures: int32(st.failures)}
+				if !st.done && !j.split {
+					step.Tasks = lives.encodeTasks(st.tasks)
+				}
+				row.Steps = append(row.Steps, step)
 			}
 		}
 		s.Occurrences = append(s.Occurrences, row)
 	}
+	s.Lives = lives.rows
 	return s
 }
 
-func encodeStep(st *step, index func(chestnutpond.WorkerIncarnation) int32) *inner.StepRow {
-	row := &inner.StepRow{Done: st.done, Failures: int32(st.failures)}
-	if st.done {
-		return row
+// lifeIndex numbers the incarnations of workers that a record names, from 1.
+type lifeIndex struct {
+	planner *Planner
+	numbers map[chestnutpond.WorkerIncarnation]int32
+	rows    []*inner.LifeRow
+}
+
+func (p *Planner) newLifeIndex() *lifeIndex {
+	return &lifeIndex{planner: p, numbers: map[chestnutpond.WorkerIncarnation]int32{}}
+}
+
+func (x *lifeIndex) number(l chestnutpond.WorkerIncarnation) int32 {
+	if n, ok := x.numbers[l]; ok {
+		return n
 	}
-	for _, t := range st.tasks {
-		tr := &inner.TaskRow{
+	x.rows = append(x.rows, &inner.LifeRow{Id: l.ID, Born: l.StartedMs, Agent: x.planner.worker(l.ID).agent})
+	x.numbers[l] = int32(len(x.rows))
+	return x.numbers[l]
+}
+
+// encodeTasks returns the rows of tasks.
+func (x *lifeIndex) encodeTasks(tasks []*task) []*inner.TaskRow {
+	rows := make([]*inner.TaskRow, 0, len(tasks))
+	for _, t := range tasks {
+		row := &inner.TaskRow{
 			State: int32(t.phase), Run: t.lastRun, Failures: int32(t.failures), Checkpoint: t.checkpoint,
 		}
 		if t.current != nil {
-			tr.Worker = index(t.current.life)
-			tr.Run, tr.StartCheckpoint = t.current.number, t.current.checkpoint
+			row.Worker = x.number(t.current.life)
+			row.Run, row.StartCheckpoint = t.current.number, t.current.checkpoint
 		}
-		row.Tasks = append(row.Tasks, tr)
+		rows = append(rows, row)
 	}
-	return row
+	return rows
 }
 
 // Load adds a job from the stored table. It does nothing if the planner has the job already.
@@ -194,7 +235,7 @@
 	j.source = from.Source()
 	p.jobs[g.ID] = j
 	if s := from.State; s != nil {
-		p.loadState(j, s)
+		p.loadState(j, s, from.Parts)
 	}
 	if from.Cancelled && !j.phase.Final() {
 		p.finish(p.cfg.ClaimedAt, j, chestnutpond.JobCancelled, "cancelled by its caller")
@@ -205,7 +246,7 @@
 	}
 }
 
-func (p *Planner) loadState(j *job, s *inner.StateRecord) {
+func (p *Planner) loadState(j *job, s *inner.StateRecord, parts map[graph.PartRef]graph.Part) {
 	j.phase, j.reason, j.settled = chestnutpond.JobState(s.GetPhase()), s.GetReason(), s.GetSettled()
 	switch j.phase {
 	case chestnutpond.JobStarting:
@@ -216,7 +257,10 @@
 	if s.GetEndedMs() > 0 {
 		j.ended = time.UnixMilli(s.GetEndedMs())
 	}
+	j.loadParts(parts)
 	if j.settled {
+		// Parts that are left are removed.
+		j.dirty = len(j.parts) > 0
 		return
 	}
 	for _, row := range s.GetOccurrences() {
@@ -225,6 +269,7 @@
 		for i, stepRow := range row.GetSteps() {
 			if i < len(o.steps) {
 				p.loadStep(o.steps[i], stepRow, s.GetLives())
+				p.loadStepParts(o.steps[i], parts)
 			}
 		}
 		if o.done {
@@ -250,15 +295,22 @@
 		st.markDone()
 		return
 	}
-	for i, tr := range row.GetTasks() {
-		if i >= len(st.tasks) {
+	j := st.occurrence.job
+	j.wholeState = j.wholeState || j.split && len(row.GetTasks()) > 0
+	p.loadTasks(st.tasks, row.GetTasks(), lives)
+}
+
+// loadTasks loads the states of tasks from their rows.
+func (p *Planner) loadTasks(tasks []*task, rows []*inner.TaskRow, lives []*inner.LifeRow) {
+	for i, row := range rows {
+		if i >= len(tasks) {
 			return
 		}
-		t := st.tasks[i]
-		t.lastRun, t.failures, t.checkpoint = tr.GetRun(), int(tr.GetFailures()), tr.GetCheckpoint()
-		t.phase = taskPhase(tr.GetState())
-		if n := int(tr.GetWorker()); n > 0 && n <= len(lives) {
-			p.loadRun(t, lives[n-1], tr.GetStartCheckpoint())
+		t := tasks[i]
+		t.lastRun, t.failures, t.checkpoint = row.GetRun(), int(row.GetFailures()), row.GetCheckpoint()
+		t.phase = taskPhase(row.GetState())
+		if n := int(row.GetWorker()); n > 0 && n <= len(lives) {
+			p.loadRun(t, lives[n-1], row.GetStartCheckpoint())
 		}
 	}
 }
--- a/internal/core/plan/repair.go
+++ b/internal/core/plan/repair.go
@@ -97,7 +97,7 @@
 // relativeRate returns the run's current rate as a share of its initial rate if it
 // is below that, else of the median rate of its step's tasks on other workers;
 // false if there is nothing to compare it with.
-func (r *run) relativeRate() (float64, bool) {
+func (p *Planner) relativeRate(r *run) (float64, bool) {
 	rate, ok := r.rate()
 	if !ok {
 		return 0, false
@@ -105,22 +105,40 @@
 	if first, ok := r.initialRate(); ok && rate < first {
 		return rate / first, true
 	}
+	if median := p.medianRate(r.task.step, r.worker); median > 0 {
+		return rate / median, true
+	}
+	return 0, false
+}
+
+// stepOnWorker identifies the tasks of a step that are not on a worker.
+type stepOnWorker struct {
+	step   *step
+	worker *worker
+}
+
+// medianRate returns the median rate of the step's tasks on other workers than the given
+// one; 0 if it is not known.
+func (p *Planner) medianRate(s *step, w *worker) float64 {
+	key := stepOnWorker{s, w}
+	if median, ok := p.medianRates[key]; ok {
+		return median
+	}
 	var others []float64
-	for _, t := range r.task.step.tasks {
-		if o := t.current; o != nil && o.worker != r.worker {
+	for _, t := range s.tasks {
+		if o := t.current; o != nil && o.worker != w {
 			if other, ok := o.rate(); ok {
 				others = append(others, other)
 			}
 		}
 	}
-	if len(others) == 0 {
-		return 0, false
-	}
-	slices.Sort(others)
-	if median := others[len(others)/2]; median > 0 {
-		return rate / median, true
+	median := 0.0
+	if len(others) > 0 {
+		slices.Sort(others)
+		median = others[len(others)/2]
 	}
-	return 0, false
+	p.medianRates[key] = median
+	return median
 }
 
 // memberDonePercent is the progress at which a member of a gang has done its own
@@ -172,6 +190,7 @@
 		return
 	}
 	p.lastInspection = now
+	clear(p.medianRates)
 	for _, w := range p.sortedWorkers {
 		if w.reachable() {
 			p.inspectWorker(now, w)
@@ -199,7 +218,7 @@
 		}
 		progressing = progressing || r.progressAt > w.health.stuckAt
 		rate, _ := r.rate()
-		if share, ok := r.relativeRate(); !ok || share > slowRateShare || rate <= 0 {
+		if share, ok := p.relativeRate(r); !ok || share > slowRateShare || rate <= 0 {
 			continue
 		}
 		w.health.slowAt = now
--- a/internal/core/plan/worker.go
+++ b/internal/core/plan/worker.go
@@ -49,9 +49,13 @@
 	lives int64
 	// runs has all unsettled runs that are assigned to the worker.
 	runs map[runKey]*run
+	// sorted has the runs in order, nil after a change of them. It is never modified.
+	sorted []*run
 	// orphans are runs that the worker lists but the planner does not have.
 	orphans map[runKey]bool
 	used    chestnutpond.Resources
+	// orderBytes is the size of the orders to start its runs.
+	orderBytes int
 	// appliedSeq is the sequence number of the newest ended run that was applied,
 	// and storedSeq that of the newest one that is stored.
 	appliedSeq, storedSeq int64
@@ -172,13 +176,28 @@
 // is far shorter than this limit.
 const silentLimit = time.Second
 
+const (
+	// maxRuns limits the runs of a worker. Each report of its agent lists them all.
+	maxRuns = 4096
+	// maxRunBytes limits the orders to start them, which the first message of a new leader
+	// repeats.
+	maxRunBytes = 6 << 20
+)
+
+// full reports whether the worker has as many runs as one may have, if some more of the unit
+// are added.
+func (w *worker) full(u unit, more int) bool {
+	return len(w.runs)+more >= maxRuns || w.orderBytes+(more+1)*orderBytes(u.job()) > maxRunBytes
+}
+
 // free returns the capacity that is not assigned to runs.
 func (w *worker) free() chestnutpond.Resources { return w.info.Capacity.Minus(w.used) }
 
 // add assigns a run to the worker.
 func (w *worker) add(r *run) {
-	w.runs[runKey{r.task.ref, r.number}] = r
+	w.runs[runKey{r.task.ref, r.number}], w.sorted = r, nil
 	w.used = w.used.Plus(r.need)
+	w.orderBytes += orderBytes(r.job())
 	w.version++
 }
 
@@ -189,12 +208,18 @@
 		return
 	}
 	delete(w.runs, key)
+	w.sorted = nil
 	w.used = w.used.Minus(r.need)
+	w.orderBytes -= orderBytes(r.job())
 	w.version++
 }
 
-// sortedRuns returns the worker's runs in order of task and run number.
+// sortedRuns returns the worker's runs in order of task and run number. The result must not
+// be modified.
 func (w *worker) sortedRuns() []*run {
+	if w.sorted != nil {
+		return w.sorted
+	}
 	all := make([]*run, 0, len(w.runs))
 	for _, r := range w.runs {
 		all = append(all, r)
@@ -202,5 +227,6 @@
 	slices.SortFunc(all, func(a, b *run) int {
 		return compareRunKeys(runKey{a.task.ref, a.number}, runKey{b.task.ref, b.number})
 	})
+	w.sorted = all
 	return all
 }
--- a/internal/test/world/size_test.go
+++ b/internal/test/world/size_test.go
@@ -9,6 +9,7 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/chestnutpond/chestnutpond"
+	"github.com/chestnutpond/chestnutpond/internal/test/stand"
 )
 
 // Guards against a job whose acceptance does not fit into a record and that is neither
@@ -70,3 +71,40 @@
 		})
 	}
 }
+
+// Guards against a job of very many tasks that keeps others from running, or that is not
+// carried to its end, also by a leader that takes over meanwhile.
+func TestJobOfManyTasks(t *testing.T) {
+	for name, fault := range map[string]func(w *World){
+		"no fault":        func(*World) {},
+		"leader killed":   func(w *World) { w.Leader().Kill() },
+		"worker restarts": func(w *World) { w.Agents[0].Worker.Restart() },
+	} {
+		t.Run(name, func(t *testing.T) {
+			playWith(t, time.Second, func(c *Config) {
+				c.Workers = 2
+				c.Model = func(ref chestnutpond.TaskRef) stand.TaskModel {
+					if ref.Job == jobID {
+						return stand.TaskModel{Work: 2 * time.Second, Need: oneTask}
+					}
+					return stand.TaskModel{Work: 2 * time.Second, Need: chestnutpond.Resources{CPU: 1, Memory: 1}}
+				}
+			}, func(t *testing.T, w *World) {
+				many := chestnutpond.Graph{Payload: "x"}
+				for range 3 {
+					many.Steps = append(many.Steps, chestnutpond.Step{
+						Count: 1200, Need: chestnutpond.Resources{CPU: 1, Memory: 1}, Estimate: 2 * time.Second,
+					})
+				}
+				w.accept(t, w.Entries[0], "00000000000000c1", many)
+				time.Sleep(2 * time.Second)
+				fault(w)
+				assert.Assert(t, w.Until(5*time.Second, func() bool { return w.Leader() != nil }))
+				w.accept(t, w.Leader(), jobID, tasks(4))
+				assert.Assert(t, w.Ended(12*time.Second, jobID, chestnutpond.JobCompleted))
+				assert.Assert(t, w.Ended(90*time.Second, "00000000000000c1", chestnutpond.JobCompleted))
+				w.startedOnce(t, jobID, 4)
+			})
+		})
+	}
+}
