A cancellation of an unknown job is stored before it is answered

What callers saw: a client left before the store had answered for its job, and cancelled it.

Cause: the cancellation of a job that is not known left nothing behind.

Ruled out: a lagging entry, which reads the store to its end first.

Change: the cancellation is stored with its account, and cancels an acceptance of that account whichever of the two is stored first.

--- a/internal/core/graph/codec.go
+++ b/internal/core/graph/codec.go
@@ -41,9 +41,11 @@
 	return newRecord(jobPrefix+string(g.ID), r)
 }
 
-// CancelRecord returns the record that cancels a job at the given time.
-func CancelRecord(id chestnutpond.JobID, at time.Time) (chestnutpond.KeyedRecord, error) {
-	return newRecord(cancelPrefix+string(id), &inner.CancelRecord{CancelledMs: at.UnixMilli()})
+// CancelRecord returns the record that cancels a job at the given time. It may be stored
+// before the job's acceptance, and then cancels a job of the given account only; the empty
+// account means any.
+func CancelRecord(id chestnutpond.JobID, at time.Time, account string) (chestnutpond.KeyedRecord, error) {
+	return newRecord(cancelPrefix+string(id), &inner.CancelRecord{CancelledMs: at.UnixMilli(), Account: account})
 }
 
 // StateRecord returns the record of a job's state, which only the leader writes.
--- a/internal/core/graph/graph.go
+++ b/internal/core/graph/graph.go
@@ -12,7 +12,9 @@
 package graph
 
 import (
+	"slices"
 	"strings"
+	"time"
 
 	"google.golang.org/protobuf/proto"
 
@@ -25,7 +27,9 @@
 	ID chestnutpond.JobID
 	// Graph is nil until the acceptance is applied; records of the other keys may
 	// be applied first.
-	Graph     *chestnutpond.Graph
+	Graph *chestnutpond.Graph
+	// Cancelled means that the job, or a job whose acceptance may still be stored, was
+	// cancelled by its account.
 	Cancelled bool
 	// State is nil until a state written by the leader is applied.
 	State *inner.StateRecord
@@ -33,6 +37,9 @@
 	// job has many tasks.
 	Parts map[PartRef]Part
 
+	// cancel is the newest cancellation, nil if there is none.
+	cancel *inner.CancelRecord
+
 	// The offsets of the newest record of each key, -1 if there is none.
 	jobOffset, cancelOffset, stateOffset int64
 }
@@ -87,6 +94,8 @@
 	ceded int64
 	// next is the offset of the next record to read.
 	next int64
+	// unmatched is the number of jobs of which only a cancellation has been applied.
+	unmatched int
 	// malformed is the number of records that could not be decoded.
 	malformed int64
 }
@@ -154,7 +163,9 @@
 	if j == nil {
 		j = &Job{ID: id, jobOffset: -1, cancelOffset: -1, stateOffset: -1}
 	}
+	alone := j.cancelledAlone()
 	changed, err := j.apply(r)
+	j.updateCancelled()
 	if err != nil {
 		t.malformed++
 		return "", Error.New("record at offset %d, key %q: %v", r.Offset, r.Key, err)
@@ -163,6 +174,7 @@
 		return "", nil
 	}
 	t.jobs[id] = j
+	t.countCancelled(alone, j)
 	if j.empty() {
 		delete(t.jobs, id)
 	}
@@ -171,7 +183,49 @@
 
 // empty reports whether no record of the job is left.
 func (j *Job) empty() bool {
-	return j.Graph == nil && !j.Cancelled && j.State == nil && len(j.Parts) == 0
+	return j.Graph == nil && j.cancel == nil && j.State == nil && len(j.Parts) == 0
+}
+
+// updateCancelled sets Cancelled.
+func (j *Job) updateCancelled() {
+	j.Cancelled = j.cancel != nil &&
+		(j.Graph == nil || j.cancel.GetAccount() == "" || j.cancel.GetAccount() == j.Graph.Account)
+}
+
+// cancelledAlone reports whether the cancellation is the only record of the job.
+func (j *Job) cancelledAlone() bool {
+	return j.cancel != nil && j.Graph == nil && j.State == nil && len(j.Parts) == 0
+}
+
+// countCancelled updates the number of cancellations without a job after a change of a job.
+func (t *Table) countCancelled(before bool, j *Job) {
+	switch after := j.cancelledAlone(); {
+	case after && !before:
+		t.unmatched++
+	case before && !after:
+		t.unmatched--
+	}
+}
+
+// UnmatchedCancels returns the number of cancellations of jobs whose acceptance has not been
+// applied.
+func (t *Table) UnmatchedCancels() int { return t.unmatched }
+
+// ExpiredCancels returns the tombstones of such cancellations that are older than the given
+// time, in order, at most limit of them.
+func (t *Table) ExpiredCancels(before time.Time, limit int) []chestnutpond.KeyedRecord {
+	var ids []chestnutpond.JobID
+	for id, j := range t.jobs {
+		if j.cancelledAlone() && j.cancel.GetCancelledMs() < before.UnixMilli() {
+			ids = append(ids, id)
+		}
+	}
+	slices.Sort(ids)
+	var records []chestnutpond.KeyedRecord
+	for _, id := range ids[:min(len(ids), limit)] {
+		records = append(records, chestnutpond.KeyedRecord{Key: cancelPrefix + string(id)})
+	}
+	return records
 }
 
 func (j *Job) apply(r chestnutpond.KeyedRecord) (bool, error) {
@@ -192,7 +246,14 @@
 		j.jobOffset = r.Offset
 		return true, nil
 	case prefix == cancelPrefix && r.Offset > j.cancelOffset:
-		j.Cancelled, j.cancelOffset = len(r.Value) > 0, r.Offset
+		var c *inner.CancelRecord
+		if len(r.Value) > 0 {
+			c = &inner.CancelRecord{}
+			if err := proto.Unmarshal(r.Value, c); err != nil {
+				return false, err
+			}
+		}
+		j.cancel, j.cancelOffset = c, r.Offset
 		return true, nil
 	case prefix == statePrefix && r.Offset > j.stateOffset:
 		if len(r.Value) == 0 {
@@ -219,12 +280,13 @@
 func (t *Table) Retain(keys map[string]bool, end int64) []chestnutpond.JobID {
 	var changed []chestnutpond.JobID
 	for id, j := range t.jobs {
+		alone := j.cancelledAlone()
 		removed := j.retainParts(keys, end)
 		if j.Graph != nil && gone(keys, jobPrefix, id, j.jobOffset, end) {
 			j.Graph, removed = nil, true
 		}
-		if j.Cancelled && gone(keys, cancelPrefix, id, j.cancelOffset, end) {
-			j.Cancelled, removed = false, true
+		if j.cancel != nil && gone(keys, cancelPrefix, id, j.cancelOffset, end) {
+			j.cancel, removed = nil, true
 		}
 		if j.State != nil && gone(keys, statePrefix, id, j.stateOffset, end) {
 			j.State, removed = nil, true
@@ -233,6 +295,8 @@
 			continue
 		}
 		changed = append(changed, id)
+		j.updateCancelled()
+		t.countCancelled(alone, j)
 		if j.empty() {
 			delete(t.jobs, id)
 		}
--- a/internal/core/plan/record.go
+++ b/internal/core/plan/record.go
@@ -34,6 +34,12 @@
 	return b
 }
 
+// WithRecords returns a batch that stores further records.
+func (b Batch) WithRecords(records []chestnutpond.KeyedRecord) Batch {
+	b.Records = slices.Concat(b.Records, records)
+	return b
+}
+
 // maxBatchBytes limits the size of the records of a batch; the store accepts 2 MiB
 // per call.
 const maxBatchBytes = 1 << 20
--- a/internal/node/lead/lead.go
+++ b/internal/node/lead/lead.go
@@ -252,6 +252,13 @@
 	return JobView{Account: j.Graph.Account, State: j.Phase(), LongRunning: lasting}, true
 }
 
+// UnmatchedCancels returns the number of cancellations of jobs that are not known.
+func (m *Manager) UnmatchedCancels() int {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.table.UnmatchedCancels()
+}
+
 // maxWatches bounds the number of jobs that callers wait for at a time.
 const maxWatches = 1024
 
--- a/internal/node/lead/term.go
+++ b/internal/node/lead/term.go
@@ -37,6 +37,10 @@
 	// lastHeartbeat is when the leader record was last appended.
 	lastHeartbeat time.Duration
 
+	// cancelsCheckedAt is when expired cancellations were last looked for. It is guarded by
+	// the manager's lock.
+	cancelsCheckedAt time.Duration
+
 	// confirmedAt is when the newest call by which the store confirmed the claim
 	// was sent. It is guarded by the manager's lock.
 	confirmedAt time.Duration
@@ -188,6 +192,7 @@
 	t.planner.ExpireLeases(now)
 	t.planner.Decide(now, wall)
 	batch, err := t.planner.TakeBatch(wall)
+	batch = batch.WithRecords(m.expiredCancels(t, now, wall))
 	notes := t.planner.Notes()
 	m.meters.setCounts(t.planner.Counts(now))
 	m.meters.agents.Update(int64(m.reportingAgents()))
@@ -195,6 +200,28 @@
 	return t, batch, notes, err
 }
 
+const (
+	// cancelRetention is how long a cancellation waits for the acceptance of its job, in
+	// addition to the retention of jobs. The platform carries an append out at most 12 s
+	// late.
+	cancelRetention = 30 * time.Second
+	// cancelCheckInterval is the time between two checks for expired cancellations, each of
+	// which looks at all jobs.
+	cancelCheckInterval = 5 * time.Second
+	// maxExpiredCancels limits the cancellations that a check removes.
+	maxExpiredCancels = 1000
+)
+
+// expiredCancels returns the tombstones of cancellations whose jobs were never accepted. The
+// lock is held.
+func (m *Manager) expiredCancels(t *term, now time.Duration, wall time.Time) []chestnutpond.KeyedRecord {
+	if m.table.UnmatchedCancels() == 0 || now-t.cancelsCheckedAt < cancelCheckInterval {
+		return nil
+	}
+	t.cancelsCheckedAt = now
+	return m.table.ExpiredCancels(wall.Add(-m.cfg.Retention-cancelRetention), maxExpiredCancels)
+}
+
 // batchStored has the orders of a stored batch sent out.
 func (m *Manager) batchStored(t *term, batch plan.Batch) {
 	m.mu.Lock()
