A trial ends when a run has lasted, and the only worker is ejected briefly

Cause: after an ejection a worker is given one run at a time until one ends well. By reading, the ejections of the only worker of a service grew to 12 s with nothing else to run on.

Ruled out: capacity, and the last ejection, which was over.

Change: a run that was started after the ejection and has lasted 1.5 s, with progress if it reports any, ends the trial; one more failure ejects the worker again.

Before: on two of three cases of TestTrialEnds and TestOnlyWorkerIsEjectedBriefly fail. After: they pass; TestOneProbeAtATime passes on both.

--- a/internal/core/plan/health.go
+++ b/internal/core/plan/health.go
@@ -1,6 +1,7 @@
 package plan
 
 import (
+	"slices"
 	"time"
 
 	"github.com/chestnutpond/chestnutpond"
@@ -21,6 +22,10 @@
 	// ejectThreshold is the suspicion at which a worker is ejected: one fast
 	// failure, or two slow failures of different jobs.
 	ejectThreshold = 2
+	// trialPeriod is how long a run started after an ejection has to last, with progress if
+	// it reports any, until its worker counts as sound. Runs that fail or stand still
+	// through a fault of the worker show it within that time.
+	trialPeriod = 1500 * time.Millisecond
 	// maxEjectedShare limits the share of workers that are ejected at the same
 	// time; one is always allowed.
 	maxEjectedShare = 0.25
@@ -95,9 +100,42 @@
 	}
 	h.ejections++
 	h.ejectedUntil = now + min(ejectMax, ejectBase<<(min(h.ejections, 5)-1))
+	if p.onlyWorker(now, w) {
+		// Nothing else can run meanwhile.
+		h.ejectedUntil = now + ejectBase
+	}
 	p.note(Note{Kind: NoteWorker, Worker: w.id, Detail: "worker is ejected: " + reason})
 }
 
+// onlyWorker reports whether no other worker of the same service may be given work.
+func (p *Planner) onlyWorker(now time.Duration, w *worker) bool {
+	return !slices.ContainsFunc(p.sortedWorkers, func(other *worker) bool {
+		return other != w && other.usable() && other.info.Service == w.info.Service && now >= other.health.ejectedUntil
+	})
+}
+
+// onTrial reports whether the worker has been ejected and no run has shown since that it is
+// sound.
+func (h *health) onTrial(now time.Duration) bool {
+	return h.suspicion >= ejectThreshold && now >= h.ejectedUntil
+}
+
+// checkTrial ends the trial of a worker once a run that was started after its ejection has
+// lasted long enough. A further failure ejects it again.
+func (w *worker) checkTrial(now time.Duration) {
+	h := &w.health
+	if !h.onTrial(now) {
+		return
+	}
+	for _, r := range w.sortedRuns() {
+		lasted := r.phase == runSeen && r.listed && r.seen >= h.ejectedUntil && now-r.seen >= trialPeriod
+		if lasted && (!r.monitored() || r.progressAt > r.seen) {
+			h.suspicion = ejectThreshold - 1
+			return
+		}
+	}
+}
+
 // eligible reports whether the worker may be given the unit now. After an ejection
 // it is first probed with a single task that may fail without failing its job.
 func (w *worker) eligible(now time.Duration, u unit) bool {
@@ -109,7 +147,11 @@
 		return true
 	}
 	for _, r := range w.runs {
-		if r.seen >= h.ejectedUntil || r.phase != runSeen {
+		began := r.assigned
+		if r.phase == runSeen {
+			began = r.seen
+		}
+		if began >= h.ejectedUntil && now-began < trialPeriod {
 			// A probe is in progress.
 			return false
 		}
--- a/internal/core/plan/repair.go
+++ b/internal/core/plan/repair.go
@@ -193,6 +193,7 @@
 	clear(p.medianRates)
 	for _, w := range p.sortedWorkers {
 		if w.reachable() {
+			w.checkTrial(now)
 			p.inspectWorker(now, w)
 			p.adjustPace(now, w)
 		}
