Preemption counts the running tasks of a step against its spread

Cause: preemption counted only the tasks of the unit that it was placing, and each task of a step that is no gang is a unit of its own.

Ruled out: placement without preemption, which counts all of them.

Change: both use the same count.

Before: on the commit before this one TestPreemptionKeepsSpread fails. After: it passes.

--- a/internal/core/plan/fit.go
+++ b/internal/core/plan/fit.go
@@ -158,14 +158,7 @@
 	need := def.Reserved()
 	taken := map[*worker]chestnutpond.Resources{}
 	// count has the tasks of the step on each worker, added those of the unit.
-	count, added := map[*worker]int{}, map[*worker]int{}
-	if def.PerWorker > 0 {
-		for _, t := range u.step.tasks {
-			if t.current != nil {
-				count[t.current.worker]++
-			}
-		}
-	}
+	count, added := u.step.tasksByWorker(), map[*worker]int{}
 	chosen := make([]*worker, 0, len(u.tasks))
 	for _, t := range u.tasks {
 		var best *worker
@@ -190,6 +183,21 @@
 	return chosen
 }
 
+// tasksByWorker returns the number of the step's tasks that are assigned to each worker. It
+// is empty if their number is not limited.
+func (s *step) tasksByWorker() map[*worker]int {
+	count := map[*worker]int{}
+	if s.def.PerWorker == 0 {
+		return count
+	}
+	for _, t := range s.tasks {
+		if t.current != nil {
+			count[t.current.worker]++
+		}
+	}
+	return count
+}
+
 // betterFit reports whether worker a is a better fit for the task than b.
 func betterFit(t *task, a *worker, aLeft chestnutpond.Resources, b *worker, bLeft chestnutpond.Resources) bool {
 	order := cmp.Or(
--- a/internal/core/plan/fit_test.go
+++ b/internal/core/plan/fit_test.go
@@ -176,3 +176,23 @@
 		})
 	}
 }
+
+// Guards against an urgent unit that preempts others on a worker that has as many tasks of
+// its step as it may have.
+func TestPreemptionKeepsSpread(t *testing.T) {
+	b := newTestbed(t, 2)
+	b.occupy(chestnutpond.Step{Need: accelerators(8), Estimate: 30 * time.Second}, "w1")
+	for range 10 {
+		b.advance(200*time.Millisecond, 1)
+		b.round()
+	}
+	id := b.submit(0, "ventas", chestnutpond.Step{Count: 2, Need: accelerators(2), PerWorker: 1, Estimate: 2500 * time.Millisecond})
+	for range 20 {
+		b.round()
+		for worker, n := range b.placements(id) {
+			assert.Equal(t, n, 1, "%d tasks on %s", n, worker)
+		}
+		b.advance(100*time.Millisecond, 2)
+	}
+	assert.Equal(t, len(b.placements(id)), 2)
+}
--- a/internal/core/plan/preempt.go
+++ b/internal/core/plan/preempt.go
@@ -125,7 +125,8 @@
 	need := u.step.def.Reserved()
 	taken := map[*worker]chestnutpond.Resources{}
 	evicted := map[*run]bool{}
-	count := map[*worker]int{}
+	count := u.step.tasksByWorker()
+	added := map[*worker]int{}
 	var chosen []*worker
 	var victims []*run
 	for range u.tasks {
@@ -133,7 +134,7 @@
 		var bestVictims []*run
 		var bestCost float64
 		for _, w := range candidates {
-			if limit := u.step.def.PerWorker; limit > 0 && count[w] >= limit || w.full(u, count[w]) {
+			if limit := u.step.def.PerWorker; limit > 0 && count[w] >= limit || w.full(u, added[w]) {
 				continue
 			}
 			free := w.free().Minus(taken[w])
@@ -155,6 +156,7 @@
 		}
 		taken[best] = taken[best].Plus(need)
 		count[best]++
+		added[best]++
 		chosen = append(chosen, best)
 		for _, r := range bestVictims {
 			for _, m := range r.gang() {
