A worker's new life gets no work before it has described itself

Cause: the agent learns of a new life from the start time in its lists of runs, and reported it with the labels of the former one.

Ruled out: the planner, which has no other source of labels.

Change: until the new life has reported, the agent says that it may not be given work. The leader settles the runs of the former life as before.

--- a/internal/node/runner/identity.go
+++ b/internal/node/runner/identity.go
@@ -124,9 +124,10 @@
 		a.cfg.Log.Info("worker changed its state", "worker", info.ID, "state", info.State, "remaining", info.Remaining)
 	}
 	a.worker, a.reportedAt, a.outdated = info, now, outdated{}
-	if returned || previous.State != info.State {
+	if returned || !a.described || previous.State != info.State {
 		a.notifyChange()
 	}
+	a.described = true
 	return true
 }
 
@@ -139,7 +140,7 @@
 		"accelerators", info.Capacity.Accelerators, "state", info.State)
 	a.resetLife(info)
 	a.worker, a.reported, a.reportedAt, a.outdated = info, true, a.cfg.Now(), outdated{}
-	a.left, a.departingSince = false, 0
+	a.left, a.departingSince, a.described = false, 0, true
 	a.notifyChange()
 }
 
--- a/internal/node/runner/lease.go
+++ b/internal/node/runner/lease.go
@@ -129,10 +129,11 @@
 	a.lifeUnverified = false
 	if l.StartedMs != 0 && l.StartedMs != life.StartedMs {
 		a.cfg.Log.Info("worker started again", "worker", life.ID, "born", l.StartedMs, "before", life.StartedMs)
+		// Its kind, labels and capacity are not known before its first report.
 		info := a.worker
 		info.StartedMs, info.Sequence = l.StartedMs, 0
 		a.resetLife(info)
-		a.worker = info
+		a.worker, a.described = info, false
 		a.left, a.departingSince = false, 0
 		a.notifyChange()
 		return false
--- a/internal/node/runner/runner.go
+++ b/internal/node/runner/runner.go
@@ -91,6 +91,9 @@
 	// identity; reportedAt is when the newest report arrived.
 	reported   bool
 	reportedAt time.Duration
+	// described means that this incarnation of the worker has reported; otherwise worker has
+	// what the former one reported.
+	described bool
 	// outdated are the latest reports that were older than the newest one.
 	outdated outdated
 	// left means that this incarnation of the worker has ended.
--- a/internal/test/stand/taskworker.go
+++ b/internal/test/stand/taskworker.go
@@ -114,6 +114,14 @@
 	w.Restart()
 }
 
+// RestartWith begins another life of the worker under the same id with other labels.
+func (w *TaskWorker) RestartWith(labels ...string) {
+	w.cfg.Fleet.mu.Lock()
+	w.cfg.Labels = labels
+	w.cfg.Fleet.mu.Unlock()
+	w.Restart()
+}
+
 // Exit ends the worker's life: its runs are gone, and it refuses connections until it
 // starts again.
 func (w *TaskWorker) Exit() {
--- a/internal/test/world/identity_test.go
+++ b/internal/test/world/identity_test.go
@@ -143,3 +143,28 @@
 		w.startedOnce(t, jobID, 8)
 	})
 }
+
+// Guards against work for a label that the worker's new life does not have, before that
+// life has reported.
+func TestWorkerRebornWithOtherLabels(t *testing.T) {
+	playWith(t, 4*time.Second, func(c *Config) { c.Workers = 2 }, func(t *testing.T, w *World) {
+		g := tasks(4)
+		g.Steps[0].Label = "a"
+		w.accept(t, w.Entries[0], jobID, g)
+		w.running(t, 4)
+		reborn := w.Agents[0]
+		if reborn.Worker.Running() == 0 {
+			reborn = w.Agents[1]
+		}
+		reborn.SetQuiet(true)
+		reborn.Worker.RestartWith("b", "rack-1")
+		time.Sleep(2 * time.Second)
+		assert.Equal(t, reborn.Worker.Running(), 0, "the new life has no label a")
+		reborn.SetQuiet(false)
+		assert.Assert(t, w.Ended(15*time.Second, jobID, chestnutpond.JobCompleted))
+		b := tasks(2)
+		b.Steps[0].Label = "b"
+		w.accept(t, w.Entries[0], "00000000000000a2", b)
+		assert.Assert(t, w.Ended(8*time.Second, "00000000000000a2", chestnutpond.JobCompleted))
+	})
+}
