Nobody sees, ends or takes over the job of another account

Cause: jobs are looked up by id; on a public queue no owner was compared, and a submission compared none.

Ruled out: the other verbs on private routes, which compared the account.

Change: on a public route a call sees jobs of public queues and of its own account. A submission with the id of a job that the call may not see is answered 409.

--- a/internal/core/graph/codec.go
+++ b/internal/core/graph/codec.go
@@ -41,11 +41,18 @@
 	return newRecord(jobPrefix+string(g.ID), r)
 }
 
-// CancelRecord returns the record that cancels a job at the given time. It may be stored
-// before the job's acceptance, and then cancels a job of the given account only; the empty
-// account means any.
-func CancelRecord(id chestnutpond.JobID, at time.Time, account string) (chestnutpond.KeyedRecord, error) {
-	return newRecord(cancelPrefix+string(id), &inner.CancelRecord{CancelledMs: at.UnixMilli(), Account: account})
+// Canceller says which job a cancellation is for that may be stored before the job's
+// acceptance: that of the account, or on the queue, if these are not empty. The zero value is
+// for a job that is known.
+type Canceller struct {
+	Account, Queue string
+}
+
+// CancelRecord returns the record that cancels a job at the given time.
+func CancelRecord(id chestnutpond.JobID, at time.Time, by Canceller) (chestnutpond.KeyedRecord, error) {
+	return newRecord(cancelPrefix+string(id), &inner.CancelRecord{
+		CancelledMs: at.UnixMilli(), Account: by.Account, Queue: by.Queue,
+	})
 }
 
 // StateRecord returns the record of a job's state, which only the leader writes.
--- a/internal/core/graph/graph.go
+++ b/internal/core/graph/graph.go
@@ -188,8 +188,13 @@
 
 // updateCancelled sets Cancelled.
 func (j *Job) updateCancelled() {
-	j.Cancelled = j.cancel != nil &&
-		(j.Graph == nil || j.cancel.GetAccount() == "" || j.cancel.GetAccount() == j.Graph.Account)
+	j.Cancelled = j.cancel != nil && (j.Graph == nil || cancels(j.cancel, j.Graph))
+}
+
+// cancels reports whether a cancellation is for the job.
+func cancels(c *inner.CancelRecord, g *chestnutpond.Graph) bool {
+	known := c.GetAccount() == "" && c.GetQueue() == ""
+	return known || c.GetAccount() != "" && c.GetAccount() == g.Account || c.GetQueue() != "" && c.GetQueue() == g.Queue.Name
 }
 
 // cancelledAlone reports whether the cancellation is the only record of the job.
--- a/internal/core/graph/graph_test.go
+++ b/internal/core/graph/graph_test.go
@@ -55,7 +55,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	cancel, err := CancelRecord(testJobID, time.UnixMilli(6000), "")
+	cancel, err := CancelRecord(testJobID, time.UnixMilli(6000), Canceller{})
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/internal/node/jobsvc/jobsvc.go
+++ b/internal/node/jobsvc/jobsvc.go
@@ -196,7 +196,11 @@
 
 // Submit implements chestnutpond.GraphService.
 func (f *Service) Submit(ctx context.Context, target chestnutpond.RouteTarget, g chestnutpond.Graph) chestnutpond.CallResult {
-	if _, known := f.cfg.Lead.Job(g.ID); known {
+	if view, known := f.cfg.Lead.Job(g.ID); known {
+		if !f.mayAccess(target, view) {
+			f.cfg.Log.Warn("job rejected: its id is that of another account's job", "job", g.ID, "account", target.Account)
+			return verdict(chestnutpond.OutcomeRejected, chestnutpond.ReasonIDInUse)
+		}
 		return verdict(chestnutpond.OutcomeAccepted, "")
 	}
 	if !f.cfg.Lead.Feed().Status().Loaded {
@@ -318,7 +322,7 @@
 		}
 		view, known = f.cfg.Lead.Job(id)
 	}
-	if !known || view.Account != "" && !target.Queue.Public && view.Account != target.Account {
+	if !known || !f.mayAccess(target, view) {
 		f.cfg.Log.Info("job not known", "job", id, "account", target.Account, "owner", view.Account,
 			"read_to", f.cfg.Lead.Feed().Status().Next)
 		return lead.JobView{}, verdict(chestnutpond.OutcomeRejected, chestnutpond.ReasonUnknownJob)
@@ -326,6 +330,26 @@
 	return view, verdict(chestnutpond.OutcomeAnswered, "")
 }
 
+// mayAccess reports whether a call may see and end a job: its own account's, or on a public
+// queue one that was accepted there or on another public queue. The queue of a job may have
+// been removed since.
+func (f *Service) mayAccess(target chestnutpond.RouteTarget, view lead.JobView) bool {
+	if view.Account == target.Account || !target.Queue.Public {
+		return view.Account == target.Account || view.Account == ""
+	}
+	if view.Queue == target.Queue.Terms.Name {
+		return true
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for i := range f.document.Kinds {
+		if q := f.document.Kinds[i].Queue; q != nil && q.Terms.Name == view.Queue {
+			return q.Public
+		}
+	}
+	return true
+}
+
 // State implements chestnutpond.GraphService. If the job has not ended, the answer waits
 // briefly for its end.
 func (f *Service) State(ctx context.Context, target chestnutpond.RouteTarget, id chestnutpond.JobID) (chestnutpond.JobState, chestnutpond.CallResult) {
@@ -380,7 +404,7 @@
 	if view.State.Final() {
 		return verdict(chestnutpond.OutcomeCancelled, "")
 	}
-	return f.storeCancellation(ctx, id, "", verdict(chestnutpond.OutcomeCancelled, ""))
+	return f.storeCancellation(ctx, id, graph.Canceller{}, verdict(chestnutpond.OutcomeCancelled, ""))
 }
 
 // cancelUnknown cancels a job that may still be accepted, if it is the account's.
@@ -391,18 +415,18 @@
 		f.cfg.Log.Warn("cancellation refused: too many of unknown jobs", "job", id, "limit", maxUnmatchedCancels)
 		return notRun(chestnutpond.ReasonJobLimit)
 	}
-	account := target.Account
+	by := graph.Canceller{Account: target.Account}
 	if target.Queue.Public {
-		account = ""
+		by.Queue = target.Queue.Terms.Name
 	}
-	return f.storeCancellation(ctx, id, account, unknown)
+	return f.storeCancellation(ctx, id, by, unknown)
 }
 
 // storeCancellation stores the cancellation of a job and returns the given result.
 func (f *Service) storeCancellation(
-	ctx context.Context, id chestnutpond.JobID, account string, result chestnutpond.CallResult,
+	ctx context.Context, id chestnutpond.JobID, by graph.Canceller, result chestnutpond.CallResult,
 ) chestnutpond.CallResult {
-	record, err := graph.CancelRecord(id, f.cfg.WallClock(), account)
+	record, err := graph.CancelRecord(id, f.cfg.WallClock(), by)
 	if err != nil {
 		f.cfg.Log.Error("cannot encode the cancellation record", "job", id, "error", err)
 		return notRun(chestnutpond.ReasonLogUnavailable)
@@ -410,7 +434,7 @@
 	fault, err := f.storeRecord(ctx, record)
 	switch {
 	case err == nil:
-		f.cfg.Log.Info("job cancelled", "job", id, "account", account, "outcome", result.Outcome)
+		f.cfg.Log.Info("job cancelled", "job", id, "account", by.Account, "outcome", result.Outcome)
 		return result
 	case fault == chestnutpond.StoreInDoubt:
 		f.cfg.Log.Warn("cancellation in doubt", "job", id, "error", err)
--- a/internal/node/lead/lead.go
+++ b/internal/node/lead/lead.go
@@ -234,7 +234,9 @@
 // JobView is the part of a job that callers may see.
 type JobView struct {
 	Account string
-	State   chestnutpond.JobState
+	// Queue is the name of the queue on which the job was accepted.
+	Queue string
+	State chestnutpond.JobState
 	// LongRunning means that the job runs until it is cancelled, or on a schedule.
 	LongRunning bool
 }
@@ -249,7 +251,7 @@
 	}
 	lasting := j.Graph.Schedule.Repetitions > 0 ||
 		slices.ContainsFunc(j.Graph.Steps, func(s chestnutpond.Step) bool { return s.Perpetual })
-	return JobView{Account: j.Graph.Account, State: j.Phase(), LongRunning: lasting}, true
+	return JobView{Account: j.Graph.Account, Queue: j.Graph.Queue.Name, State: j.Phase(), LongRunning: lasting}, true
 }
 
 // UnmatchedCancels returns the number of cancellations of jobs that are not known.
--- a/internal/node/rest/rest.go
+++ b/internal/node/rest/rest.go
@@ -139,6 +139,7 @@
 	chestnutpond.ReasonUnknownKind:  http.StatusNotFound,
 	chestnutpond.ReasonUnknownJob:   http.StatusNotFound,
 	chestnutpond.ReasonBodyTooLarge: http.StatusRequestEntityTooLarge,
+	chestnutpond.ReasonIDInUse:      http.StatusConflict,
 }
 
 // writeVerdict writes the response for a result other than success.
--- a/outcome.go
+++ b/outcome.go
@@ -48,9 +48,11 @@
 	ReasonBodyTooLarge   Reason = "body_too_large"
 	ReasonBadDocument    Reason = "bad_document"
 	ReasonUnauthorized   Reason = "unauthorized"
-	ReasonJobLimit       Reason = "job_limit"
-	ReasonIntentLimit    Reason = "intent_limit"
-	ReasonBase           Reason = "base_version"
+	// ReasonIDInUse means that the id belongs to a job of another account.
+	ReasonIDInUse     Reason = "id_in_use"
+	ReasonJobLimit    Reason = "job_limit"
+	ReasonIntentLimit Reason = "intent_limit"
+	ReasonBase        Reason = "base_version"
 	// ReasonNoRoute means that the HTTP interface has no such path or method.
 	ReasonNoRoute Reason = "no_route"
 )
