--- a/internal/node/feed/feed_test.go
+++ b/internal/node/feed/feed_test.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"log/slog"
+	"maps"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -21,11 +23,21 @@
 
 // receiver keeps the values of keys and panics on one of them.
 type receiver struct {
+	mu     sync.Mutex
 	values map[string]string
 	next   int64
 }
 
+// snapshot returns the values.
+func (r *receiver) snapshot() map[string]string {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return maps.Clone(r.values)
+}
+
 func (r *receiver) Apply(records []chestnutpond.KeyedRecord) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
 	for _, record := range records {
 		if record.Key == oddKey {
 			panic("odd record")
@@ -34,9 +46,15 @@
 	}
 }
 
-func (r *receiver) Loaded(next int64) { r.next = next }
+func (r *receiver) Loaded(next int64) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.next = next
+}
 
 func (r *receiver) Retain(keys map[string]bool, _ int64) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
 	for key := range r.values {
 		if !keys[key] {
 			delete(r.values, key)
@@ -111,7 +129,7 @@
 		}
 		put(chestnutpond.KeyedRecord{Key: "a", Value: []byte("1")}, chestnutpond.KeyedRecord{Key: "b", Value: []byte("2")})
 		time.Sleep(time.Second)
-		assert.DeepEqual(t, r.values, map[string]string{"a": "1", "b": "2"})
+		assert.DeepEqual(t, r.snapshot(), map[string]string{"a": "1", "b": "2"})
 		way.SetFault(chestnutpond.StoreUnavailable)
 		time.Sleep(time.Second)
 		put(chestnutpond.KeyedRecord{Key: "a"}, chestnutpond.KeyedRecord{Key: "c", Value: []byte("3")})
@@ -120,6 +138,6 @@
 		time.Sleep(time.Second)
 		stop()
 		assert.NilError(t, <-done)
-		assert.DeepEqual(t, r.values, map[string]string{"b": "2", "c": "3"})
+		assert.DeepEqual(t, r.snapshot(), map[string]string{"b": "2", "c": "3"})
 	})
 }
