Zones are evacuated on request of the operators

The requests are read from the operators' topic by every entry. The leader gives workers of such a zone no new runs and withdraws the runs that they have not listed; runs at work go on, perpetual ones move one at a time. Where the settings give a delay for evacuations, a leader whose view of the requests is older than half of it hands out no starts.

--- a/internal/core/plan/decide.go
+++ b/internal/core/plan/decide.go
@@ -33,6 +33,9 @@
 	// Units of one step are interchangeable: if one cannot be placed, neither can
 	// the others.
 	unplaced := map[*step]bool{}
+	if p.startsHeld {
+		return false
+	}
 	for _, u := range p.units(now) {
 		if unplaced[u.step] {
 			continue
--- a/internal/core/plan/orders.go
+++ b/internal/core/plan/orders.go
@@ -77,7 +77,9 @@
 	if w == nil || !w.reported {
 		return Orders{}, false
 	}
-	w.handOutStarts()
+	if p.mayStart(w) {
+		w.handOutStarts()
+	}
 	o := Orders{Life: w.life, Fence: p.fence(w), Acknowledged: w.storedSeq, Paces: w.paces()}
 	for _, r := range w.sortedRuns() {
 		if r.life != w.life {
@@ -86,7 +88,7 @@
 		switch {
 		case r.stopping && r.mayExist():
 			o.Stops = append(o.Stops, RunRef{r.task.ref, r.number})
-		case r.phase == runOrdered && r.sent:
+		case r.phase == runOrdered && r.sent && p.mayStart(w):
 			o.Starts = append(o.Starts, StartRun{
 				RunRef: RunRef{r.task.ref, r.number}, Payload: r.job().graph.Payload, Checkpoint: r.checkpoint,
 				Ticket: r.ticket,
--- a/internal/core/plan/plan.go
+++ b/internal/core/plan/plan.go
@@ -77,8 +77,12 @@
 	jobs     map[chestnutpond.JobID]*job
 	// active has the jobs that may still have runs or changes to store, in order of
 	// acceptance.
-	active  []*job
-	workers map[string]*worker
+	active []*job
+	// evacuations are the zones that get no new runs.
+	evacuations chestnutpond.Evacuations
+	// startsHeld means that no orders to start runs are handed out.
+	startsHeld bool
+	workers    map[string]*worker
 	// sortedWorkers has the workers in order of id.
 	sortedWorkers []*worker
 	// lastBatch is the number of the last batch.
--- a/internal/core/plan/repair.go
+++ b/internal/core/plan/repair.go
@@ -195,6 +195,7 @@
 		if w.reachable() {
 			w.checkTrial(now)
 			p.inspectWorker(now, w)
+			p.movePerpetual(now, w)
 			p.adjustPace(now, w)
 		}
 	}
--- a/internal/core/plan/report.go
+++ b/internal/core/plan/report.go
@@ -51,6 +51,7 @@
 		}
 		p.reconcile(now, w, rep)
 	}
+	p.updateEvacuated(now, w)
 	if rep.Left {
 		p.workerLeft(now, w)
 	}
--- a/internal/core/plan/worker.go
+++ b/internal/core/plan/worker.go
@@ -62,9 +62,11 @@
 	// clock is the worker's monotonic clock at its newest lists.
 	clock time.Duration
 	// silent is how long the worker has not replied to its agent.
-	silent       time.Duration
-	unhealthy    bool
-	health       health
+	silent    time.Duration
+	unhealthy bool
+	health    health
+	// evacuated means that the worker's zone is being evacuated.
+	evacuated    bool
 	pacing       pacing
 	releaseCache releaseCache
 	// version increases with each change of the worker's orders.
@@ -164,7 +166,9 @@
 }
 
 // usable reports whether the worker may be given new work.
-func (w *worker) usable() bool { return w.reachable() && w.info.State == chestnutpond.WorkerReady }
+func (w *worker) usable() bool {
+	return w.reachable() && !w.evacuated && w.info.State == chestnutpond.WorkerReady
+}
 
 // reachable reports whether the worker is expected to execute orders.
 func (w *worker) reachable() bool {
--- a/internal/node/fleet/entry.go
+++ b/internal/node/fleet/entry.go
@@ -33,7 +33,13 @@
 	// ParseDocument parses a record of the operators; the second result is false
 	// for records of other kinds.
 	ParseDocument func(key string, value []byte) (chestnutpond.Document, bool, error)
-	Wall          func() time.Time
+	// ParseEvacuation returns the zone of a request for an evacuation by its key; nil if zones
+	// are not evacuated.
+	ParseEvacuation func(key string) (string, bool)
+	// EvacuationDelay is how long after the request for an evacuation starts in the zone are
+	// tolerated; zero means that zones are not evacuated.
+	EvacuationDelay time.Duration
+	Wall            func() time.Time
 	// MaxRecord bounds a record of the store in bytes; zero means no bound.
 	MaxRecord int
 	// Retention is how long an ended job stays visible.
@@ -66,10 +72,11 @@
 		Self: e.row, Boot: e.boot, Store: e.store, Mesh: e.mesh, Roster: e.roster, Direct: e.store.DirectAvailable,
 		Now: c.Now, WallClock: c.Wall, Log: c.Logs.Logger("lead"),
 		Lease: c.Lease, Retention: c.Retention, RemoteSlowdown: c.RemoteSlowdown, RestoreTime: c.RestoreTime, Metrics: e.base.Metrics,
-		Adviser: c.Adviser, Guard: e.guard,
+		Adviser: c.Adviser, Guard: e.guard, EvacuationDelay: c.EvacuationDelay,
+		OperatorsFresh: func() time.Duration { return e.front.Feed().Status().Fresh },
 	})
 	e.front = jobsvc.New(jobsvc.Config{
-		Store: e.store, StoreLatency: e.store.Health, Lead: e.manager, ParseDocument: c.ParseDocument, Now: c.Now, WallClock: c.Wall,
+		Store: e.store, StoreLatency: e.store.Health, Lead: e.manager, ParseDocument: c.ParseDocument, ParseEvacuation: c.ParseEvacuation, Now: c.Now, WallClock: c.Wall,
 		Log: c.Logs.Logger("front"), Metrics: e.base.Metrics, Guard: e.guard, MaxRecord: c.MaxRecord,
 	})
 	e.addAgeGauge(chestnutpond.TopicWork, e.manager.Feed())
--- a/internal/node/jobsvc/jobsvc.go
+++ b/internal/node/jobsvc/jobsvc.go
@@ -68,9 +68,12 @@
 	// ParseDocument parses a record of the operators; the second result is false
 	// for records of other kinds.
 	ParseDocument func(key string, value []byte) (chestnutpond.Document, bool, error)
-	Now           func() time.Duration
-	WallClock     func() time.Time
-	Log           *slog.Logger
+	// ParseEvacuation returns the zone of a request for an evacuation by its key; false for
+	// records of other kinds. It may be nil if zones are not evacuated.
+	ParseEvacuation func(key string) (string, bool)
+	Now             func() time.Duration
+	WallClock       func() time.Time
+	Log             *slog.Logger
 	// Metrics receives the time that it takes to store records.
 	Metrics *stats.Registry
 	// Guard contains panics.
@@ -86,12 +89,14 @@
 	// storeSeconds measures the time that it takes to store the record of a call.
 	storeSeconds *stats.Seconds
 
-	// mu guards the fields below; no other lock is taken while it is held.
+	// mu guards the fields below. Only the lock of the lead.Manager is taken while it is held.
 	mu       sync.Mutex
 	document chestnutpond.Document
 	// tokens maps the digest of each token to its account.
-	tokens   map[string]string
-	stopping bool
+	tokens map[string]string
+	// evacuations has the newest request for the evacuation of each zone.
+	evacuations map[string]evacuation
+	stopping    bool
 	// unreachableAt is when the store last failed to answer a read; 0 once a read
 	// succeeds.
 	unreachableAt time.Duration
@@ -102,7 +107,7 @@
 // New returns a Service without a configuration document.
 func New(c Config) *Service {
 	f := &Service{
-		cfg: c, tokens: map[string]string{},
+		cfg: c, tokens: map[string]string{}, evacuations: map[string]evacuation{},
 		storeSeconds: c.Metrics.Seconds("front_store_seconds", "Time from a client's call until its record was stored."),
 	}
 	f.feed = feed.New(feed.Config{
@@ -118,6 +123,10 @@
 // feed.Receiver.
 func (f *Service) Apply(records []chestnutpond.KeyedRecord) {
 	for _, r := range records {
+		if zone, ok := f.parseEvacuation(r.Key); ok {
+			f.applyEvacuation(zone, r)
+			continue
+		}
 		d, ok, err := f.cfg.ParseDocument(r.Key, r.Value)
 		if err != nil {
 			f.cfg.Log.Error("skipping invalid document", "offset", r.Offset, "error", err)
@@ -133,7 +142,7 @@
 func (f *Service) Loaded(int64) {}
 
 // Retain implements feed.Receiver. A document stays in force until there is a newer one.
-func (f *Service) Retain(map[string]bool, int64) {}
+func (f *Service) Retain(keys map[string]bool, end int64) { f.retainEvacuations(keys, end) }
 
 // setDocument replaces the document in force if the given one is newer.
 func (f *Service) setDocument(d chestnutpond.Document, offset int64) {
--- a/internal/node/lead/attach.go
+++ b/internal/node/lead/attach.go
@@ -173,6 +173,7 @@
 	message.Leads, message.GrantSequence = true, s.reported
 	now := m.cfg.Now()
 	s.answered = s.reported
+	m.holdStarts(m.term, now)
 	if orders, known := m.term.planner.Orders(now, s.worker); known {
 		encodeOrders(message, orders)
 		if m.mayGrant(m.term) {
--- a/internal/node/lead/claim.go
+++ b/internal/node/lead/claim.go
@@ -295,6 +295,7 @@
 		RemoteSlowdown: m.cfg.RemoteSlowdown, RestoreTime: m.cfg.RestoreTime, SettleLimit: settleLimit,
 	})
 	planner.SetDocument(m.document)
+	planner.SetEvacuations(now, m.evacuations)
 	var jobs []*graph.Job
 	m.table.Jobs(func(j *graph.Job) { jobs = append(jobs, j) })
 	slices.SortFunc(jobs, func(a, b *graph.Job) int {
--- a/internal/node/lead/lead.go
+++ b/internal/node/lead/lead.go
@@ -66,6 +66,12 @@
 	Retention      time.Duration
 	RemoteSlowdown float64
 	RestoreTime    time.Duration
+	// EvacuationDelay is how long after the request for an evacuation starts in the zone are
+	// tolerated; zero means that zones are not evacuated.
+	EvacuationDelay time.Duration
+	// OperatorsFresh returns a time such that all requests of the operators that were stored
+	// before it have been applied. It may be nil if EvacuationDelay is zero.
+	OperatorsFresh func() time.Duration
 	// Metrics receives the metrics of the leader.
 	Metrics *stats.Registry
 	// Adviser is nil if no queue needs advice.
@@ -90,6 +96,8 @@
 	mu       sync.Mutex
 	table    *graph.Table
 	document chestnutpond.Document
+	// evacuations are the zones that the operators evacuate.
+	evacuations chestnutpond.Evacuations
 	// term is nil unless this entry leads.
 	term *term
 	// streams maps each agent to its newest stream.
--- a/internal/node/lead/metrics.go
+++ b/internal/node/lead/metrics.go
@@ -21,6 +21,10 @@
 	queues map[plan.QueueAccount]metrics.Gauge
 	// waiting and running count jobs; usable, ejected and away count workers.
 	waiting, running, usable, ejected, away metrics.Gauge
+	// evacuated has the gauges of runs in evacuated zones that have been set.
+	evacuated map[string]metrics.Gauge
+	// startsHeld is 1 while no starts are handed out.
+	startsHeld metrics.Gauge
 }
 
 func newMeters(r *stats.Registry) *meters {
@@ -30,8 +34,10 @@
 	jobs := func(s string) metrics.Gauge { return state("lead_jobs", "Jobs that are not over, by state.", s) }
 	workers := func(s string) metrics.Gauge { return state("lead_workers", "Workers by state.", s) }
 	return &meters{
-		queues:  map[plan.QueueAccount]metrics.Gauge{},
-		waiting: jobs("waiting"), running: jobs("running"),
+		queues:     map[plan.QueueAccount]metrics.Gauge{},
+		evacuated:  map[string]metrics.Gauge{},
+		startsHeld: r.Gauge("lead_starts_held", "1 while no runs are started because the requests of the operators may be out of date."),
+		waiting:    jobs("waiting"), running: jobs("running"),
 		usable: workers("usable"), ejected: workers("ejected"), away: workers("away"),
 		registry: r,
 		decide:   r.Seconds("lead_decide_seconds", "Time of one round of decisions."),
@@ -94,3 +100,28 @@
 
 // since returns the time that has passed since a reading of the clock.
 func (m *Manager) since(began time.Duration) time.Duration { return m.cfg.Now() - began }
+
+// setEvacuated updates the gauges of the runs that are left in evacuated zones.
+func (m *meters) setEvacuated(runs map[string]int) {
+	for zone, n := range runs {
+		if m.evacuated[zone] == nil {
+			m.evacuated[zone] = m.registry.Gauge("lead_evacuated_zone_runs", "Runs that are left in an evacuated zone.",
+				stats.Label{Name: "zone", Value: zone})
+		}
+		m.evacuated[zone].Update(int64(n))
+	}
+	for zone, gauge := range m.evacuated {
+		if _, ok := runs[zone]; !ok {
+			gauge.Update(0)
+		}
+	}
+}
+
+// setStartsHeld records whether starts are held back.
+func (m *meters) setStartsHeld(held bool) {
+	value := int64(0)
+	if held {
+		value = 1
+	}
+	m.startsHeld.Update(value)
+}
--- a/internal/node/lead/term.go
+++ b/internal/node/lead/term.go
@@ -34,6 +34,8 @@
 	// inDoubt has the records of the last append while it is unknown whether they
 	// were stored. That append is repeated before another one.
 	inDoubt []chestnutpond.KeyedRecord
+	// startsHeld means that no starts are handed out. It is guarded by the manager's lock.
+	startsHeld bool
 	// lastHeartbeat is when the leader record was last appended.
 	lastHeartbeat time.Duration
 
@@ -190,12 +192,14 @@
 		return nil, plan.Batch{}, nil, nil
 	}
 	t.planner.ExpireLeases(now)
+	m.holdStarts(t, now)
 	t.planner.Decide(now, wall)
 	batch, err := t.planner.TakeBatch(wall)
 	batch = batch.WithRecords(m.expiredCancels(t, now, wall))
 	notes := t.planner.Notes()
 	m.meters.setCounts(t.planner.Counts(now))
 	m.meters.agents.Update(int64(m.reportingAgents()))
+	m.meters.setEvacuated(t.planner.EvacuatedRuns())
 	m.wakeChangedStreams()
 	return t, batch, notes, err
 }
--- a/internal/test/stand/keyed.go
+++ b/internal/test/stand/keyed.go
@@ -25,6 +25,8 @@
 	appended chan struct{}
 	// down makes every call of everybody fail.
 	down chestnutpond.StoreFault
+	// unreadable is the topic whose reads fail; empty means none.
+	unreadable chestnutpond.Topic
 	// deaf leaves reads that wait without an answer.
 	deaf bool
 }
@@ -56,6 +58,23 @@
 	s.down = f
 }
 
+// SetUnreadable makes the reads of a topic fail; the empty topic ends that.
+func (s *KeyedStore) SetUnreadable(topic chestnutpond.Topic) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.unreadable = topic
+}
+
+// readable returns an error if the reads of a topic fail.
+func (s *KeyedStore) readable(topic chestnutpond.Topic) error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if topic == s.unreadable {
+		return &chestnutpond.StoreError{Fault: chestnutpond.StoreUnavailable}
+	}
+	return nil
+}
+
 // SetDeaf leaves reads that wait for records without an answer, as if watches had
 // been lost; all other calls are served.
 func (s *KeyedStore) SetDeaf(on bool) {
@@ -215,6 +234,9 @@
 	if err := s.pause(ctx); err != nil {
 		return chestnutpond.KeyedBatch{}, err
 	}
+	if err := s.readable(topic); err != nil {
+		return chestnutpond.KeyedBatch{}, err
+	}
 	timer := time.NewTimer(wait)
 	defer timer.Stop()
 	for {
@@ -252,6 +274,9 @@
 	if err := s.pause(ctx); err != nil {
 		return chestnutpond.KeyedPage{}, err
 	}
+	if err := s.readable(topic); err != nil {
+		return chestnutpond.KeyedPage{}, err
+	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	t := s.topic(topic)
--- a/internal/test/stand/taskorders.go
+++ b/internal/test/stand/taskorders.go
@@ -124,6 +124,7 @@
 	r := &workerRun{worker: w, ref: o.Task, number: o.Run, model: model, percent: 100}
 	w.runs[runID{o.Task, o.Run}] = r
 	f.started(r)
+	w.lastStart = time.Now()
 	w.signal()
 	if model.Gang > 1 {
 		members := f.members(r)
--- a/internal/test/stand/taskworker.go
+++ b/internal/test/stand/taskworker.go
@@ -53,6 +53,8 @@
 	// mute leaves calls without an answer; late carries them out after that time.
 	mute bool
 	late time.Duration
+	// lastStart is when the worker last started a run.
+	lastStart time.Time
 	// unhealthy refuses every start.
 	unhealthy bool
 	failing   bool
@@ -199,6 +201,13 @@
 	return len(w.runs)
 }
 
+// LastStart returns when the worker last started a run, in any incarnation.
+func (w *TaskWorker) LastStart() time.Time {
+	w.cfg.Fleet.mu.Lock()
+	defer w.cfg.Fleet.mu.Unlock()
+	return w.lastStart
+}
+
 // Fence returns the highest fence that the worker has seen.
 func (w *TaskWorker) Fence() int64 {
 	w.cfg.Fleet.mu.Lock()
--- a/internal/test/world/world.go
+++ b/internal/test/world/world.go
@@ -13,6 +13,7 @@
 	"fmt"
 	"io"
 	"net"
+	"strings"
 	"sync"
 	"time"
 
@@ -41,6 +42,11 @@
 	Workers int
 	// Racks is the number of racks that the workers are spread over.
 	Racks int
+	// Zones is the number of zones that the workers are spread over, at least 1.
+	Zones int
+	// EvacuationDelay is how long starts in a zone are tolerated after the request for its
+	// evacuation.
+	EvacuationDelay time.Duration
 	// Service is that of the workers; empty means a default.
 	Service  string
 	Capacity chestnutpond.Resources
@@ -111,6 +117,7 @@
 	if c.Racks == 0 {
 		c.Racks = 1
 	}
+	c.Zones = max(1, c.Zones)
 	if c.Service == "" {
 		c.Service = service
 	}
@@ -133,7 +140,7 @@
 		}
 		a.Worker = stand.NewTaskWorker(stand.TaskWorkerConfig{
 			Ticket: ticket,
-			Fleet:  w.Fleet, ID: fmt.Sprintf("worker-%d", i+1), Service: c.Service, Zone: "zone-1",
+			Fleet:  w.Fleet, ID: fmt.Sprintf("worker-%d", i+1), Service: c.Service, Zone: fmt.Sprintf("zone-%d", i%c.Zones+1),
 			Rack: fmt.Sprintf("rack-%d", i%c.Racks+1), Labels: []string{"a", fmt.Sprintf("rack-%d", i%c.Racks+1)},
 			Capacity: c.Capacity, Lease: Lease, StopTime: StopTime, GangTimeout: 3 * time.Second,
 		})
@@ -166,6 +173,24 @@
 	}
 }
 
+// evacuationPrefix precedes the zone in the key of a request for an evacuation.
+const evacuationPrefix = "evacuate-"
+
+// SetEvacuated requests the evacuation of a zone, or takes the request back.
+func (w *World) SetEvacuated(zone string, on bool) {
+	var value []byte
+	if on {
+		value = []byte("{}")
+	}
+	way := &stand.StoreCaller{Store: w.Store}
+	_, err := way.Append(w.ctx, chestnutpond.TopicDesired, chestnutpond.KeyedAppend{
+		Records: []chestnutpond.KeyedRecord{{Key: evacuationPrefix + zone, Value: value}},
+	})
+	if err != nil {
+		panic(err)
+	}
+}
+
 func (w *World) base(name string, way *stand.StoreCaller, listener net.Listener) fleet.Base {
 	seeds := []string{}
 	for i := range w.cfg.Entries {
@@ -187,7 +212,9 @@
 	ctx, stop := context.WithCancel(w.ctx)
 	node := fleet.NewEntry(fleet.EntryConfig{
 		Base: w.base(e.Name, e.Way, w.net.listen(e.Name)), ParseDocument: w.parse, Wall: w.cfg.Wall,
-		MaxRecord: w.cfg.MaxRecord, Retention: 2 * time.Minute, RemoteSlowdown: 3, RestoreTime: 100 * time.Millisecond, Adviser: w.cfg.Adviser,
+		ParseEvacuation: func(key string) (string, bool) { return strings.CutPrefix(key, evacuationPrefix) },
+		EvacuationDelay: w.cfg.EvacuationDelay,
+		MaxRecord:       w.cfg.MaxRecord, Retention: 2 * time.Minute, RemoteSlowdown: 3, RestoreTime: 100 * time.Millisecond, Adviser: w.cfg.Adviser,
 	})
 	done := make(chan struct{})
 	e.node, e.stop, e.done = node, stop, done
--- a/internal/tool/launch/fleet.go
+++ b/internal/tool/launch/fleet.go
@@ -192,6 +192,7 @@
 	s := p.settings
 	c := fleet.EntryConfig{
 		Base: p.base, ParseDocument: platform.ParseDesired, Wall: time.Now,
+		ParseEvacuation: platform.ParseEvacuation, EvacuationDelay: s.EvacuationDelay,
 		MaxRecord: s.MaxRecord, Retention: s.Retention, RemoteSlowdown: s.RemoteSlowdown, RestoreTime: s.RestoreTime,
 	}
 	if s.Advice != "" {
