Planner can predict durations by the learned model

Cause: the statistics of a queue do not tell accounts apart, ignore stopped runs, and know nothing of what the runs of the same step show. Change: with plan.Config.LearnDurations, expectedDuration asks core/learn and adds what completed, running and stopped runs of the step show. Without it nothing changes. internal/test/graphs has two loads of several accounts and compares the planner with and without; its bound no longer copies jobs.

--- a/internal/core/plan/job.go
+++ b/internal/core/plan/job.go
@@ -71,6 +71,8 @@
 	readyAt time.Duration
 	// advice has the advice service's answers, on queues that require advice.
 	advice advice
+	// finished is what the completed runs of the step show of its durations.
+	finished evidence
 }
 
 // task is a task of a step.
@@ -89,6 +91,10 @@
 	current *run
 	// notBefore is the earliest time at which the task may run again.
 	notBefore time.Duration
+	// shown is the duration that the progress of the last stopped run implies, or 0.
+	shown time.Duration
+	// bounded means that a stopped run was learned from.
+	bounded bool
 	// avoid is the worker on which the task last failed or from which it was moved.
 	avoid string
 	// avoidUntil is the time until which the task waits for other workers.
--- a/internal/core/plan/plan.go
+++ b/internal/core/plan/plan.go
@@ -27,6 +27,7 @@
 
 	"github.com/chestnutpond/chestnutpond"
 	"github.com/chestnutpond/chestnutpond/internal/core/graph"
+	"github.com/chestnutpond/chestnutpond/internal/core/learn"
 )
 
 // Config configures a Planner.
@@ -52,6 +53,9 @@
 	RemoteSlowdown float64
 	// RestoreTime is the time needed to start a run from a checkpoint.
 	RestoreTime time.Duration
+	// LearnDurations means that durations are predicted by package learn and by what the
+	// runs of a step show, not by the statistics of its queue alone.
+	LearnDurations bool
 }
 
 const (
@@ -85,6 +89,10 @@
 	lastBatch int64
 	// stats has the statistics of the queues by name.
 	stats map[string]*queueStats
+	// model predicts durations; nil unless Config.LearnDurations is set. learnedMore means
+	// that it has had a sample since the last call of TakeLearned.
+	model       *learn.Model
+	learnedMore bool
 	// predictions caches expected durations in the current round. It is cleared
 	// when the statistics change.
 	predictions map[*step]time.Duration
@@ -118,8 +126,13 @@
 
 // New returns a planner without jobs or workers.
 func New(c Config) *Planner {
+	var model *learn.Model
+	if c.LearnDurations {
+		model = learn.New(learn.Config{})
+	}
 	return &Planner{
 		cfg:      c,
+		model:    model,
 		wall:     c.Wall,
 		accounts: map[string]*account{},
 		jobs:     map[chestnutpond.JobID]*job{},
@@ -203,6 +216,8 @@
 	NoteWorker  NoteKind = "worker"
 	// NoteRemoved is a job whose retention is over.
 	NoteRemoved NoteKind = "removed"
+	// NotePredicted is a run that has ended and whose duration had been learned before.
+	NotePredicted NoteKind = "predicted"
 )
 
 // Note is a decision or an observed change, for logs and metrics.
@@ -217,10 +232,12 @@
 	// had the job first.
 	Source graph.Source
 	// Queue, State and Took are set for a job that started or ended. Took is the
-	// time since its acceptance.
+	// time since its acceptance. For a predicted run, Took is its duration.
 	Queue string
 	State chestnutpond.JobState
 	Took  time.Duration
+	// Prediction is set for a predicted run.
+	Prediction chestnutpond.Prediction
 }
 
 // maxNotes limits the notes between two calls of Notes; further ones are dropped.
--- a/internal/core/plan/settle.go
+++ b/internal/core/plan/settle.go
@@ -21,6 +21,7 @@
 		p.checkSettled(now, j)
 		return
 	}
+	p.learnStopped(now, r, ending)
 	t.current = nil
 	t.phase = taskWaiting
 	j.dirty = true
--- a/internal/core/plan/stats.go
+++ b/internal/core/plan/stats.go
@@ -66,8 +66,12 @@
 	if r.phase != runSeen || r.checkpoint != "" || took <= 0 {
 		return
 	}
-	d := p.statsOf(r.job())
 	clear(p.predictions)
+	if p.model != nil {
+		p.learnDone(now, r, took)
+		return
+	}
+	d := p.statsOf(r.job())
 	d.count = min(d.count+1, statsWindow)
 	d.duration.add(math.Log(took.Seconds()), d.count)
 	if estimate > 0 {
@@ -88,6 +92,9 @@
 }
 
 func (p *Planner) predictDuration(s *step) time.Duration {
+	if p.model != nil {
+		return p.predictLearned(s)
+	}
 	d := p.stats[s.occurrence.job.graph.Queue.Name]
 	if d == nil || d.count < minSamples {
 		return s.def.Estimate
--- a/internal/test/graphs/bound.go
+++ b/internal/test/graphs/bound.go
@@ -29,9 +29,10 @@
 // forcedOut returns the value that cannot be done in time of the jobs that arrive and
 // should be done within an interval. The jobs with the most value for their work stay.
 func forcedOut(jobs []job, from, to time.Duration) float64 {
-	var inside []job
+	var inside []*job
 	work := 0.0
-	for _, j := range jobs {
+	for i := range jobs {
+		j := &jobs[i]
 		if j.arrives >= from && j.arrives+j.objective <= to {
 			inside = append(inside, j)
 			work += j.volume()
@@ -41,7 +42,7 @@
 	if excess <= 0 {
 		return 0
 	}
-	slices.SortFunc(inside, func(a, b job) int { return cmp.Compare(a.value*b.volume(), b.value*a.volume()) })
+	slices.SortFunc(inside, func(a, b *job) int { return cmp.Compare(a.value*b.volume(), b.value*a.volume()) })
 	out := 0.0
 	for _, j := range inside {
 		part := min(1, excess/j.volume())
--- a/internal/test/graphs/load.go
+++ b/internal/test/graphs/load.go
@@ -9,6 +9,7 @@
 package graphs
 
 import (
+	"cmp"
 	"fmt"
 	"math"
 	"math/rand/v2"
@@ -59,13 +60,27 @@
 	kinds   []kind
 	// burst times the arrivals of the most urgent kind between the seconds 8 and 16.
 	burst float64
+	// accounts is the number of client accounts that submit in turn, 0 for one. The estimates
+	// of every third one are too long by biasedBy.
+	accounts int
+	// lasting is how long jobs arrive, if it is not the constant arrivals.
+	lasting time.Duration
+	// inside is the deviation of the logarithm of the work within a step that is no gang.
+	inside float64
+	// Learn has the planner learn durations.
+	Learn bool
 }
 
+// biasedBy is the factor of the estimates of accounts whose estimates are wrong.
+const biasedBy = 7
+
 // job is a job with what the planner cannot know.
 type job struct {
 	graph   chestnutpond.Graph
 	arrives time.Duration
 	work    time.Duration
+	// factors are those of the tasks of a step whose work differs; nil if it does not.
+	factors []float64
 	value   float64
 	// share is the part of the service that its tasks take together, by its scarcest
 	// resource.
@@ -117,10 +132,32 @@
 	}
 }
 
+// LearningRows returns loads of which there is something to learn: of several accounts, of
+// which some estimate wrong, and with tasks that differ within a step.
+func LearningRows() []Row {
+	return []Row{
+		{Name: "accounts_off", workers: 11, room: room64, kinds: kinds(1.8, 1, 1), burst: 1, accounts: 9, lasting: time.Minute},
+		{Name: "tasks_differ", workers: 11, room: room64, kinds: kinds(1.8, 1, 1), burst: 1, accounts: 9, lasting: time.Minute, inside: 0.4},
+	}
+}
+
+// accountNames returns the names of the accounts that submit.
+func (r Row) accountNames() []string {
+	if r.accounts == 0 {
+		return []string{account}
+	}
+	var names []string
+	for i := range r.accounts {
+		names = append(names, fmt.Sprintf("%s-%d", account, i))
+	}
+	return names
+}
+
 // jobs draws the jobs of a row, in order of arrival.
 func (r Row) jobs(seed uint64) []job {
 	random := rand.New(rand.NewPCG(seed, 1))
 	var all []job
+	end := cmp.Or(r.lasting, arrivals)
 	for i := range r.kinds {
 		k := &r.kinds[i]
 		for at := time.Duration(0); ; {
@@ -128,7 +165,7 @@
 			if k.priority == 0 && at > 8*time.Second && at < 16*time.Second {
 				gap /= r.burst
 			}
-			if at += seconds(gap); at >= arrivals {
+			if at += seconds(gap); at >= end {
 				break
 			}
 			all = append(all, r.draw(k, random, at, len(all)))
@@ -141,6 +178,9 @@
 func (r Row) draw(k *kind, random *rand.Rand, at time.Duration, number int) job {
 	work := k.work.Seconds() * math.Exp(k.spread*random.NormFloat64())
 	estimate := work * math.Exp(k.off*random.NormFloat64())
+	if r.accounts > 0 && number%r.accounts%3 == 2 {
+		estimate *= biasedBy
+	}
 	count := min(max(1, int(random.ExpFloat64()*k.width+0.5)), 4*int(k.width)+1)
 	step := chestnutpond.Step{
 		Count: count, Need: k.need, Estimate: seconds(estimate), Gang: k.gang && count > 1,
@@ -153,12 +193,20 @@
 	share := float64(count) / float64(r.workers) * max(
 		float64(step.Need.CPU)/float64(r.room.CPU), float64(step.Need.Memory)/float64(r.room.Memory),
 		float64(step.Need.Accelerators)/float64(r.room.Accelerators))
+	var factors []float64
+	if r.inside > 0 && !step.Gang {
+		for range count {
+			// The mean of the factors is 1.
+			factors = append(factors, math.Exp(r.inside*random.NormFloat64()-r.inside*r.inside/2))
+		}
+	}
+	names := r.accountNames()
 	waves := math.Max(1, math.Ceil(share/waveShare))
 	return job{
-		arrives: at, work: seconds(work), value: k.value, share: share,
+		arrives: at, work: seconds(work), factors: factors, value: k.value, share: share,
 		objective: k.target + seconds(k.stretch*work*waves),
 		graph: chestnutpond.Graph{
-			ID: chestnutpond.JobID(fmt.Sprintf("%016x", number+1)), Account: account,
+			ID: chestnutpond.JobID(fmt.Sprintf("%016x", number+1)), Account: names[number%len(names)],
 			Steps: []chestnutpond.Step{step},
 			Queue: chestnutpond.QueuePolicy{
 				Name: k.name, Service: service, Priority: k.priority, MaxAttempts: 3, Stretch: k.stretch, TargetLatency: k.target,
@@ -167,4 +215,12 @@
 	}
 }
 
+// workOf returns the work of a task.
+func (j *job) workOf(index int) time.Duration {
+	if j.factors == nil {
+		return j.work
+	}
+	return seconds(j.work.Seconds() * j.factors[index])
+}
+
 func seconds(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
--- a/internal/test/graphs/run.go
+++ b/internal/test/graphs/run.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"slices"
 	"time"
 
@@ -33,6 +34,11 @@
 	Unfinished int
 	// Late is the number of jobs by kind that were not done in time.
 	Late map[string]int
+	// Predicted is the number of runs that were compared with their prediction, UnderP90
+	// that of those within the predicted 90th percentile, and SquaredError the sum of the
+	// squares of the logarithm of actual over predicted duration.
+	Predicted, UnderP90 int
+	SquaredError        float64
 }
 
 // loop is a load that runs.
@@ -71,8 +77,12 @@
 		began: time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC), jobs: map[chestnutpond.JobID]*job{},
 		result: Result{Jobs: len(jobs), Bound: bound(jobs), Late: map[string]int{}},
 	}
-	l.planner = plan.New(plan.Config{Epoch: 1, Lease: lease, Wall: l.began, Retention: time.Hour, RemoteSlowdown: 3})
-	l.planner.SetDocument(chestnutpond.Document{Version: 1, Accounts: []chestnutpond.Account{{Name: account}}})
+	l.planner = plan.New(plan.Config{Epoch: 1, Lease: lease, Wall: l.began, Retention: time.Hour, RemoteSlowdown: 3, LearnDurations: r.Learn})
+	document := chestnutpond.Document{Version: 1}
+	for _, name := range r.accountNames() {
+		document.Accounts = append(document.Accounts, chestnutpond.Account{Name: name})
+	}
+	l.planner.SetDocument(document)
 	for i := range r.workers {
 		id := fmt.Sprintf("worker-%03d", i+1)
 		l.workers = append(l.workers, &worker{info: chestnutpond.WorkerInfo{
@@ -132,6 +142,9 @@
 func (l *loop) count() int {
 	ended := 0
 	for _, n := range l.planner.Notes() {
+		if n.Kind == plan.NotePredicted {
+			l.result.countPrediction(n)
+		}
 		if n.Kind != plan.NoteEnded {
 			continue
 		}
@@ -146,6 +159,15 @@
 	return ended
 }
 
+func (r *Result) countPrediction(n plan.Note) {
+	r.Predicted++
+	if n.Took <= n.Prediction.P90 {
+		r.UnderP90++
+	}
+	off := math.Log(float64(n.Took) / float64(n.Prediction.Median))
+	r.SquaredError += off * off
+}
+
 // members returns how many runs of each gang run are present.
 func (l *loop) members() map[plan.RunRef]int {
 	present := map[plan.RunRef]int{}
@@ -179,7 +201,7 @@
 				l.thrown += r.done.Seconds() * cores(step.Need)
 				w.end(r, chestnutpond.RunStopped)
 				return true
-			case r.done >= j.work:
+			case r.done >= j.workOf(r.name.Task.Index):
 				w.end(r, chestnutpond.RunDone)
 				return true
 			}
@@ -198,7 +220,7 @@
 	rep := plan.Report{Agent: w.info.ID, Info: w.info, Listed: w.fence > 0, Fence: w.fence, Ended: w.ended, Clock: l.now + time.Second}
 	for _, r := range w.running {
 		rep.Running = append(rep.Running, chestnutpond.RunStatus{
-			Task: r.name.Task, Run: r.name.Run, Percent: int(100 * r.done / l.jobs[r.name.Task.Job].work),
+			Task: r.name.Task, Run: r.name.Run, Percent: int(100 * r.done / l.jobs[r.name.Task.Job].workOf(r.name.Task.Index)),
 		})
 	}
 	return rep
