What a leader has learned of durations outlives it

Cause: a new leader would start from callers' estimates. Change: the leader appends the record learned to the work topic, at most 32 KB, at most every 10 s, together with a heartbeat; with changes of jobs only once it is 30 s old. The next leader reads it when its term starts; a record that is missing, invalid or of another version means callers' estimates. If the store rejects it, it is not written again in the term.

--- a/internal/core/graph/codec.go
+++ b/internal/core/graph/codec.go
@@ -22,6 +22,7 @@
 	partPrefix   = "t"
 	leaderKey    = "leader"
 	cededKey     = "ceded"
+	learnedKey   = "learned"
 )
 
 // JobRecord returns the record that accepts a job.
@@ -71,7 +72,7 @@
 // JobOf returns the ID of the job that a record of the key belongs to; false if it belongs
 // to none.
 func JobOf(key string) (chestnutpond.JobID, bool) {
-	if len(key) < 2 || key == leaderKey || key == cededKey {
+	if len(key) < 2 || key == leaderKey || key == cededKey || key == learnedKey {
 		return "", false
 	}
 	id := key[1:]
@@ -92,6 +93,17 @@
 	return newRecord(cededKey, &inner.CededRecord{Epoch: epoch})
 }
 
+// MaxLearned bounds the record of what a leader has learned, in bytes with its key.
+const MaxLearned = 32 << 10
+
+// LearnedRecord returns the record of what a leader has learned of durations.
+func LearnedRecord(value []byte) chestnutpond.KeyedRecord {
+	return chestnutpond.KeyedRecord{Key: learnedKey, Value: value}
+}
+
+// IsLearned reports whether a key is that of the record of what a leader has learned.
+func IsLearned(key string) bool { return key == learnedKey }
+
 func newRecord(key string, m proto.Message) (chestnutpond.KeyedRecord, error) {
 	value, err := proto.Marshal(m)
 	if err != nil {
--- a/internal/core/graph/graph.go
+++ b/internal/core/graph/graph.go
@@ -5,8 +5,8 @@
 // newest record of each key by offset. The result is the same however the records
 // are split between pages of newest records and reads of the log. A job has three
 // keys: the accepted graph, the cancellation, and the state that the leader
-// writes. The leader's claim and the confirmation that a former leader has ceded
-// have keys of their own.
+// writes. The leader's claim, the confirmation that a former leader has ceded and what
+// a leader has learned of durations have keys of their own.
 //
 // The package does not read any clock.
 package graph
@@ -92,6 +92,9 @@
 	// ceded is the highest epoch whose leader has confirmed that it grants no more
 	// leases.
 	ceded int64
+	// learned is the newest record of what a leader has learned, nil if there is none.
+	learned       []byte
+	learnedOffset int64
 	// next is the offset of the next record to read.
 	next int64
 	// unmatched is the number of jobs of which only a cancellation has been applied.
@@ -102,7 +105,10 @@
 
 // New returns an empty table.
 func New() *Table {
-	return &Table{jobs: map[chestnutpond.JobID]*Job{}, leader: Leader{LeaderRecord: &inner.LeaderRecord{}, Offset: -1}}
+	return &Table{
+		jobs: map[chestnutpond.JobID]*Job{}, leader: Leader{LeaderRecord: &inner.LeaderRecord{}, Offset: -1},
+		learnedOffset: -1,
+	}
 }
 
 // Job returns a job, or nil if its acceptance has not been applied.
@@ -131,6 +137,10 @@
 // more leases.
 func (t *Table) Ceded() int64 { return t.ceded }
 
+// Learned returns the newest record of what a leader has learned of durations, nil if there
+// is none. Its content has not been checked.
+func (t *Table) Learned() []byte { return t.learned }
+
 // Next returns the offset of the next record to read.
 func (t *Table) Next() int64 { return t.next }
 
@@ -153,6 +163,8 @@
 		return "", t.applyLeader(r)
 	case cededKey:
 		return "", t.applyCeded(r)
+	case learnedKey:
+		return "", t.applyLearned(r)
 	}
 	id, ok := JobOf(r.Key)
 	if !ok {
@@ -284,6 +296,9 @@
 // It returns the jobs that it changed.
 func (t *Table) Retain(keys map[string]bool, end int64) []chestnutpond.JobID {
 	var changed []chestnutpond.JobID
+	if t.learnedOffset < end && !keys[learnedKey] {
+		t.learned = nil
+	}
 	for id, j := range t.jobs {
 		alone := j.cancelledAlone()
 		removed := j.retainParts(keys, end)
@@ -328,6 +343,22 @@
 	return nil
 }
 
+// applyLearned keeps the newest record; one that is too large counts as none.
+func (t *Table) applyLearned(r chestnutpond.KeyedRecord) error {
+	if r.Offset <= t.learnedOffset {
+		return nil
+	}
+	t.learned, t.learnedOffset = nil, r.Offset
+	if r.Size() > MaxLearned {
+		t.malformed++
+		return Error.New("record at offset %d, key %q: %d bytes; allowed are %d", r.Offset, r.Key, r.Size(), MaxLearned)
+	}
+	if len(r.Value) > 0 {
+		t.learned = r.Value
+	}
+	return nil
+}
+
 func (t *Table) applyLeader(r chestnutpond.KeyedRecord) error {
 	if r.Offset <= t.leader.Offset {
 		return nil
--- a/internal/core/graph/graph_test.go
+++ b/internal/core/graph/graph_test.go
@@ -1,6 +1,7 @@
 package graph
 
 import (
+	"strings"
 	"testing"
 	"time"
 
@@ -48,6 +49,45 @@
 	assert.DeepEqual(t, table.Job(testJobID).Graph, testGraph())
 }
 
+// TestLearnedRecord guards against a record of what has been learned that is taken for that
+// of a job, and against one that is kept although it is old, too large or removed.
+func TestLearnedRecord(t *testing.T) {
+	_, ofJob := JobOf(LearnedRecord(nil).Key)
+	assert.Assert(t, !ofJob)
+	record := func(value string, offset int64) chestnutpond.KeyedRecord {
+		r := LearnedRecord([]byte(value))
+		r.Offset = offset
+		return r
+	}
+	cases := map[string]struct {
+		records []chestnutpond.KeyedRecord
+		want    string
+		fails   bool
+	}{
+		"one":                {records: []chestnutpond.KeyedRecord{record("a", 1)}, want: "a"},
+		"a newer one":        {records: []chestnutpond.KeyedRecord{record("a", 1), record("b", 2)}, want: "b"},
+		"an older one":       {records: []chestnutpond.KeyedRecord{record("b", 2), record("a", 1)}, want: "b"},
+		"a tombstone":        {records: []chestnutpond.KeyedRecord{record("a", 1), record("", 2)}},
+		"one too large":      {records: []chestnutpond.KeyedRecord{record("a", 1), record(strings.Repeat("a", MaxLearned), 2)}, fails: true},
+		"as large as it may": {records: []chestnutpond.KeyedRecord{record(strings.Repeat("a", MaxLearned-8), 2)}, want: strings.Repeat("a", MaxLearned-8)},
+	}
+	for name, tt := range cases {
+		t.Run(name, func(t *testing.T) {
+			table := New()
+			var err error
+			for _, r := range tt.records {
+				_, err = table.Apply(r)
+			}
+			assert.Equal(t, err != nil, tt.fails)
+			assert.Equal(t, string(table.Learned()), tt.want)
+			table.Retain(map[string]bool{learnedKey: true}, 3)
+			assert.Equal(t, string(table.Learned()), tt.want)
+			table.Retain(nil, 3)
+			assert.Equal(t, string(table.Learned()), "")
+		})
+	}
+}
+
 // jobRecords returns the acceptance, a running state, the cancellation and a
 // completed state of a job, with the given offsets.
 func jobRecords(t interface{ Fatal(args ...any) }, offsets ...int64) []chestnutpond.KeyedRecord {
--- a/internal/node/fleet/entry.go
+++ b/internal/node/fleet/entry.go
@@ -40,6 +40,8 @@
 	Retention      time.Duration
 	RemoteSlowdown float64
 	RestoreTime    time.Duration
+	// LearnDurations means that the leader learns how long tasks run and decides by it.
+	LearnDurations bool
 	// Adviser is nil if no queue needs advice.
 	Adviser chestnutpond.Adviser
 }
@@ -66,7 +68,7 @@
 		Self: e.row, Boot: e.boot, Store: e.store, Mesh: e.mesh, Roster: e.roster, Direct: e.store.DirectAvailable,
 		Now: c.Now, WallClock: c.Wall, Log: c.Logs.Logger("lead"),
 		Lease: c.Lease, Retention: c.Retention, RemoteSlowdown: c.RemoteSlowdown, RestoreTime: c.RestoreTime, Metrics: e.base.Metrics,
-		Adviser: c.Adviser, Guard: e.guard,
+		Adviser: c.Adviser, Guard: e.guard, LearnDurations: c.LearnDurations, MaxRecord: c.MaxRecord,
 	})
 	e.front = jobsvc.New(jobsvc.Config{
 		Store: e.store, StoreLatency: e.store.Health, Lead: e.manager, ParseDocument: c.ParseDocument, Now: c.Now, WallClock: c.Wall,
--- a/internal/node/lead/claim.go
+++ b/internal/node/lead/claim.go
@@ -293,7 +293,9 @@
 	planner := plan.New(plan.Config{
 		Epoch: epoch, Lease: m.cfg.Lease, FormerGrantPeriod: grants, ClaimedAt: now, Wall: m.cfg.WallClock(), Retention: m.cfg.Retention,
 		RemoteSlowdown: m.cfg.RemoteSlowdown, RestoreTime: m.cfg.RestoreTime, SettleLimit: settleLimit,
+		LearnDurations: m.cfg.LearnDurations,
 	})
+	m.loadLearned(planner)
 	planner.SetDocument(m.document)
 	var jobs []*graph.Job
 	m.table.Jobs(func(j *graph.Job) { jobs = append(jobs, j) })
@@ -305,7 +307,7 @@
 	}
 	m.term = &term{
 		epoch: epoch, nonce: nonce, planner: planner, sequence: sequence, confirmedAt: now,
-		formerGrantsEnd: now + grants, earlierGrantsEnd: now + earlierGrants, lastHeartbeat: now, appendToken: make(chan struct{}, 1),
+		formerGrantsEnd: now + grants, earlierGrantsEnd: now + earlierGrants, lastHeartbeat: now, learnedAt: now, appendToken: make(chan struct{}, 1),
 	}
 	m.term.returnAppendToken()
 	m.suspicion = suspicion{}
--- a/internal/node/lead/lead.go
+++ b/internal/node/lead/lead.go
@@ -66,6 +66,10 @@
 	Retention      time.Duration
 	RemoteSlowdown float64
 	RestoreTime    time.Duration
+	// LearnDurations means that the leader learns durations and stores what it has learned.
+	LearnDurations bool
+	// MaxRecord bounds a record of the store in bytes; zero means no bound.
+	MaxRecord int
 	// Metrics receives the metrics of the leader.
 	Metrics *stats.Registry
 	// Adviser is nil if no queue needs advice.
--- a/internal/node/lead/metrics.go
+++ b/internal/node/lead/metrics.go
@@ -1,6 +1,7 @@
 package lead
 
 import (
+	"math"
 	"time"
 
 	metrics "github.com/rcrowley/go-metrics"
@@ -17,6 +18,12 @@
 	leads, agents  metrics.Gauge
 	// rejected counts the records that the store rejected.
 	rejected metrics.Counter
+	// learnedGroups and learnedBytes are the size of what has been learned and of its
+	// record; learnedInvalid counts the records that a new leader could not use.
+	learnedGroups, learnedBytes metrics.Gauge
+	learnedInvalid              metrics.Counter
+	// predictions has the errors of predictions by queue.
+	predictions map[string]*predictionErrors
 	// queues has the gauges of waiting jobs that have been set.
 	queues map[plan.QueueAccount]metrics.Gauge
 	// waiting and running count jobs; usable, ejected and away count workers.
@@ -33,12 +40,16 @@
 		queues:  map[plan.QueueAccount]metrics.Gauge{},
 		waiting: jobs("waiting"), running: jobs("running"),
 		usable: workers("usable"), ejected: workers("ejected"), away: workers("away"),
-		registry: r,
-		decide:   r.Seconds("lead_decide_seconds", "Time of one round of decisions."),
-		append:   r.Seconds("lead_append_seconds", "Time until the records of a round were stored."),
-		leads:    r.Gauge("lead_leads", "1 while this entry leads."),
-		agents:   r.Gauge("lead_agents", "Agents that report to this entry."),
-		rejected: r.Counter("lead_rejected_records_total", "Records that the store rejected."),
+		registry:       r,
+		decide:         r.Seconds("lead_decide_seconds", "Time of one round of decisions."),
+		append:         r.Seconds("lead_append_seconds", "Time until the records of a round were stored."),
+		leads:          r.Gauge("lead_leads", "1 while this entry leads."),
+		agents:         r.Gauge("lead_agents", "Agents that report to this entry."),
+		learnedGroups:  r.Gauge("lead_learned_groups", "Groups of tasks whose durations this entry has learned as the leader."),
+		learnedBytes:   r.Gauge("lead_learned_bytes", "Size of the last record of learned durations."),
+		learnedInvalid: r.Counter("lead_learned_invalid_total", "Records of learned durations that a new term could not use."),
+		predictions:    map[string]*predictionErrors{},
+		rejected:       r.Counter("lead_rejected_records_total", "Records that the store rejected."),
 	}
 }
 
@@ -62,6 +73,8 @@
 	case plan.NoteStopped:
 		m.registry.Counter("lead_run_stops_total", "Runs that were stopped, by why.",
 			stats.Label{Name: "reason", Value: n.Detail}).Inc(1)
+	case plan.NotePredicted:
+		m.countPrediction(n)
 	case plan.NoteStarted:
 		m.registry.Seconds("lead_job_wait_seconds", "Time from a job's acceptance to its first run, by queue.",
 			stats.Label{Name: "queue", Value: n.Queue}).Observe(n.Took)
@@ -71,6 +84,41 @@
 	}
 }
 
+// predictionErrors are the errors of the predictions of a queue.
+type predictionErrors struct {
+	runs, underP90 metrics.Counter
+	rms            metrics.GaugeFloat64
+	// weight and meanSquare are of the logarithms of the errors, with exponential weights.
+	weight, meanSquare float64
+}
+
+// predictionWindow is the number of runs over which the error of predictions is averaged.
+const predictionWindow = 100
+
+// countPrediction compares a run with its prediction. The share of lead_predicted_runs_total
+// that lead_predicted_under_p90_total counts is 0.9 if the predictions are calibrated.
+func (m *meters) countPrediction(n plan.Note) {
+	e := m.predictions[n.Queue]
+	if e == nil {
+		queue := stats.Label{Name: "queue", Value: n.Queue}
+		e = &predictionErrors{
+			runs:     m.registry.Counter("lead_predicted_runs_total", "Completed runs whose duration was predicted, by queue.", queue),
+			underP90: m.registry.Counter("lead_predicted_under_p90_total", "Those within the predicted 90th percentile.", queue),
+			rms: m.registry.GaugeFloat64("lead_prediction_error",
+				"Root mean square of the natural logarithm of actual over predicted duration, by queue.", queue),
+		}
+		m.predictions[n.Queue] = e
+	}
+	e.runs.Inc(1)
+	if n.Took <= n.Prediction.P90 {
+		e.underP90.Inc(1)
+	}
+	off := math.Log(float64(n.Took) / float64(n.Prediction.Median))
+	e.weight = min(e.weight+1, predictionWindow)
+	e.meanSquare += (off*off - e.meanSquare) / e.weight
+	e.rms.Update(math.Sqrt(e.meanSquare))
+}
+
 // setCounts updates the gauges of jobs and workers.
 func (m *meters) setCounts(c plan.Counts) {
 	m.waiting.Update(int64(c.Waiting))
--- a/internal/node/lead/term.go
+++ b/internal/node/lead/term.go
@@ -36,6 +36,11 @@
 	inDoubt []chestnutpond.KeyedRecord
 	// lastHeartbeat is when the leader record was last appended.
 	lastHeartbeat time.Duration
+	// learnedAt is when the record of what has been learned was last appended, at first the
+	// beginning of the term. It is guarded by the append token, as is learnedRejected, which
+	// means that the store rejected it.
+	learnedAt       time.Duration
+	learnedRejected bool
 
 	// cancelsCheckedAt is when expired cancellations were last looked for. It is guarded by
 	// the manager's lock.
@@ -195,6 +200,7 @@
 	batch = batch.WithRecords(m.expiredCancels(t, now, wall))
 	notes := t.planner.Notes()
 	m.meters.setCounts(t.planner.Counts(now))
+	m.meters.learnedGroups.Update(int64(t.planner.LearnedGroups()))
 	m.meters.agents.Update(int64(m.reportingAgents()))
 	m.wakeChangedStreams()
 	return t, batch, notes, err
@@ -252,6 +258,7 @@
 func (m *Manager) storeRecords(ctx context.Context, t *term, now time.Duration, records []chestnutpond.KeyedRecord) ([]chestnutpond.KeyedRecord, error) {
 	<-t.appendToken
 	defer t.returnAppendToken()
+	changes := len(records)
 	if now-t.lastHeartbeat >= heartbeatInterval {
 		heartbeat, err := graph.LeaderRecord(&inner.LeaderRecord{
 			Epoch: t.epoch, Entry: m.cfg.Self, Boot: m.cfg.Boot, Nonce: t.nonce, Agents: m.countReportingAgents(),
@@ -266,20 +273,22 @@
 	if len(records) == 0 {
 		return nil, nil
 	}
+	records = m.withLearned(t, now, records, changes > 0)
 	began := m.cfg.Now()
 	rejected, err := t.appendAccepted(ctx, m.cfg.Store, records)
 	if err != nil {
 		return nil, err
 	}
+	m.meters.append.Observe(m.since(began))
+	if len(rejected) < len(records) {
+		m.confirmClaim(t, now)
+	}
+	rejected = m.withoutLearned(t, rejected)
 	for _, r := range rejected {
 		if _, ok := graph.JobOf(r.Key); !ok {
 			return nil, Error.New("record %q of %d bytes is rejected", r.Key, r.Size())
 		}
 	}
-	m.meters.append.Observe(m.since(began))
-	if len(rejected) < len(records) {
-		m.confirmClaim(t, now)
-	}
 	return rejected, nil
 }
 
@@ -326,6 +335,9 @@
 	for _, n := range notes {
 		m.meters.countNote(n)
 		switch n.Kind {
+		case plan.NotePredicted:
+			m.cfg.Log.Debug("run compared with its prediction", "job", n.Job, "queue", n.Queue, "took", n.Took,
+				"median", n.Prediction.Median, "p90", n.Prediction.P90, "samples", n.Prediction.Samples, "epoch", epoch)
 		case plan.NoteStarted:
 			m.cfg.Log.Info("job began", "job", n.Job, "queue", n.Queue, "waited", n.Took, "epoch", epoch)
 		case plan.NoteEnded:
--- a/internal/tool/launch/fleet.go
+++ b/internal/tool/launch/fleet.go
@@ -183,6 +183,10 @@
 	})
 }
 
+// learnDurations says whether leaders learn how long tasks run. The platform's settings have
+// no key for it.
+const learnDurations = false
+
 func runFleetEntry(ctx context.Context, path string) error {
 	p, err := newOnPlatform(path)
 	if err != nil {
@@ -193,6 +197,7 @@
 	c := fleet.EntryConfig{
 		Base: p.base, ParseDocument: platform.ParseDesired, Wall: time.Now,
 		MaxRecord: s.MaxRecord, Retention: s.Retention, RemoteSlowdown: s.RemoteSlowdown, RestoreTime: s.RestoreTime,
+		LearnDurations: learnDurations,
 	}
 	if s.Advice != "" {
 		c.Adviser = platform.NewAdviser(s.Advice)
