--- a/internal/node/fleet/entry.go
+++ b/internal/node/fleet/entry.go
@@ -46,6 +46,8 @@
 	Retention      time.Duration
 	RemoteSlowdown float64
 	RestoreTime    time.Duration
+	// LearnDurations means that the leader learns how long tasks run and decides by it.
+	LearnDurations bool
 	// Adviser is nil if no queue needs advice.
 	Adviser chestnutpond.Adviser
 }
@@ -74,6 +76,7 @@
 		Lease: c.Lease, Retention: c.Retention, RemoteSlowdown: c.RemoteSlowdown, RestoreTime: c.RestoreTime, Metrics: e.base.Metrics,
 		Adviser: c.Adviser, Guard: e.guard, EvacuationDelay: c.EvacuationDelay,
 		OperatorsFresh: func() time.Duration { return e.front.Feed().Status().Fresh },
+		LearnDurations: c.LearnDurations, MaxRecord: c.MaxRecord,
 	})
 	e.front = jobsvc.New(jobsvc.Config{
 		Store: e.store, StoreLatency: e.store.Health, Lead: e.manager, ParseDocument: c.ParseDocument, ParseEvacuation: c.ParseEvacuation, Now: c.Now, WallClock: c.Wall,
--- a/internal/node/lead/lead.go
+++ b/internal/node/lead/lead.go
@@ -72,6 +72,10 @@
 	// OperatorsFresh returns a time such that all requests of the operators that were stored
 	// before it have been applied. It may be nil if EvacuationDelay is zero.
 	OperatorsFresh func() time.Duration
+	// LearnDurations means that the leader learns durations and stores what it has learned.
+	LearnDurations bool
+	// MaxRecord bounds a record of the store in bytes; zero means no bound.
+	MaxRecord int
 	// Metrics receives the metrics of the leader.
 	Metrics *stats.Registry
 	// Adviser is nil if no queue needs advice.
