--- a/internal/core/plan/plan.go
+++ b/internal/core/plan/plan.go
@@ -53,9 +53,19 @@
 	RemoteSlowdown float64
 	// RestoreTime is the time needed to start a run from a checkpoint.
 	RestoreTime time.Duration
+	// Policy switches parts of the planner.
+	Policy Policy
+}
+
+// Policy switches the parts of the planner that a deployment may leave off. The zero value
+// has all of them off.
+type Policy struct {
 	// LearnDurations means that durations are predicted by package learn and by what the
 	// runs of a step show, not by the statistics of its queue alone.
 	LearnDurations bool
+	// PreemptEarly means that an urgent unit preempts at once if that costs little, and does
+	// not wait for capacity until its slack is used up.
+	PreemptEarly bool
 }
 
 const (
@@ -131,7 +141,7 @@
 // New returns a planner without jobs or workers.
 func New(c Config) *Planner {
 	var model *learn.Model
-	if c.LearnDurations {
+	if c.Policy.LearnDurations {
 		model = learn.New(learn.Config{})
 	}
 	return &Planner{
--- a/internal/core/plan/plan_test.go
+++ b/internal/core/plan/plan_test.go
@@ -67,7 +67,7 @@
 func (b *testbed) newPlanner(epoch int64, former time.Duration) *Planner {
 	p := New(Config{
 		Epoch: epoch, Lease: testLease, FormerGrantPeriod: former, ClaimedAt: b.now, Retention: time.Minute, RemoteSlowdown: 3,
-		RestoreTime: 100 * time.Millisecond, LearnDurations: b.learns,
+		RestoreTime: 100 * time.Millisecond, Policy: Policy{LearnDurations: b.learns},
 	})
 	p.SetDocument(chestnutpond.Document{
 		Version:  1,
--- a/internal/core/plan/preempt.go
+++ b/internal/core/plan/preempt.go
@@ -31,6 +31,9 @@
 		p.reserveEarliest(now, u)
 		return false
 	}
+	if p.preemptEarly(now, u) {
+		return true
+	}
 	wait := slack - startDelay
 	if guaranteed {
 		wait = min(max(wait, 0), guaranteeWait-p.age(u))
@@ -50,11 +53,7 @@
 			if !guaranteed && p.cost(now, u, victims) >= p.gain(u) {
 				break
 			}
-			for _, r := range victims {
-				p.stop(now, r, "makes room for more urgent work")
-				p.stopGang(now, r.task.step, r.number)
-			}
-			p.assign(now, u, chosen)
+			p.preempt(now, u, chosen, victims)
 			return true
 		}
 	}
--- a/internal/node/fleet/entry.go
+++ b/internal/node/fleet/entry.go
@@ -8,6 +8,7 @@
 	"github.com/oklog/run"
 
 	"github.com/chestnutpond/chestnutpond"
+	"github.com/chestnutpond/chestnutpond/internal/core/plan"
 	"github.com/chestnutpond/chestnutpond/internal/node/jobsvc"
 	"github.com/chestnutpond/chestnutpond/internal/node/lead"
 	"github.com/chestnutpond/chestnutpond/internal/node/roster"
@@ -46,8 +47,8 @@
 	Retention      time.Duration
 	RemoteSlowdown float64
 	RestoreTime    time.Duration
-	// LearnDurations means that the leader learns how long tasks run and decides by it.
-	LearnDurations bool
+	// Policy switches parts of the planner.
+	Policy plan.Policy
 	// Adviser is nil if no queue needs advice.
 	Adviser chestnutpond.Adviser
 }
@@ -76,7 +77,7 @@
 		Lease: c.Lease, Retention: c.Retention, RemoteSlowdown: c.RemoteSlowdown, RestoreTime: c.RestoreTime, Metrics: e.base.Metrics,
 		Adviser: c.Adviser, Guard: e.guard, EvacuationDelay: c.EvacuationDelay,
 		OperatorsFresh: func() time.Duration { return e.front.Feed().Status().Fresh },
-		LearnDurations: c.LearnDurations, MaxRecord: c.MaxRecord,
+		Policy:         c.Policy, MaxRecord: c.MaxRecord,
 	})
 	e.front = jobsvc.New(jobsvc.Config{
 		Store: e.store, StoreLatency: e.store.Health, Lead: e.manager, ParseDocument: c.ParseDocument, ParseEvacuation: c.ParseEvacuation, Now: c.Now, WallClock: c.Wall,
--- a/internal/node/lead/claim.go
+++ b/internal/node/lead/claim.go
@@ -293,7 +293,7 @@
 	planner := plan.New(plan.Config{
 		Epoch: epoch, Lease: m.cfg.Lease, FormerGrantPeriod: grants, ClaimedAt: now, Wall: m.cfg.WallClock(), Retention: m.cfg.Retention,
 		RemoteSlowdown: m.cfg.RemoteSlowdown, RestoreTime: m.cfg.RestoreTime, SettleLimit: settleLimit,
-		LearnDurations: m.cfg.LearnDurations,
+		Policy: m.cfg.Policy,
 	})
 	m.loadLearned(planner)
 	planner.SetDocument(m.document)
--- a/internal/node/lead/lead.go
+++ b/internal/node/lead/lead.go
@@ -24,6 +24,7 @@
 
 	"github.com/chestnutpond/chestnutpond"
 	"github.com/chestnutpond/chestnutpond/internal/core/graph"
+	"github.com/chestnutpond/chestnutpond/internal/core/plan"
 	"github.com/chestnutpond/chestnutpond/internal/node/feed"
 	"github.com/chestnutpond/chestnutpond/internal/node/mesh"
 	"github.com/chestnutpond/chestnutpond/internal/node/roster"
@@ -72,8 +73,8 @@
 	// OperatorsFresh returns a time such that all requests of the operators that were stored
 	// before it have been applied. It may be nil if EvacuationDelay is zero.
 	OperatorsFresh func() time.Duration
-	// LearnDurations means that the leader learns durations and stores what it has learned.
-	LearnDurations bool
+	// Policy switches parts of the planner.
+	Policy plan.Policy
 	// MaxRecord bounds a record of the store in bytes; zero means no bound.
 	MaxRecord int
 	// Metrics receives the metrics of the leader.
--- a/internal/node/lead/learned.go
+++ b/internal/node/lead/learned.go
@@ -23,7 +23,7 @@
 // valid record it predicts by callers' estimates. The lock is held.
 func (m *Manager) loadLearned(p *plan.Planner) {
 	value := m.table.Learned()
-	if !m.cfg.LearnDurations || value == nil {
+	if !m.cfg.Policy.LearnDurations || value == nil {
 		return
 	}
 	if err := p.LoadLearned(value, m.cfg.WallClock()); err != nil {
@@ -38,7 +38,7 @@
 // due. The last argument says that the records have changes of jobs.
 func (m *Manager) withLearned(t *term, now time.Duration, records []chestnutpond.KeyedRecord, changes bool) []chestnutpond.KeyedRecord {
 	age := now - t.learnedAt
-	if !m.cfg.LearnDurations || t.learnedRejected || age < learnedInterval || changes && age < learnedOverdue {
+	if !m.cfg.Policy.LearnDurations || t.learnedRejected || age < learnedInterval || changes && age < learnedOverdue {
 		return records
 	}
 	t.learnedAt = now
--- a/internal/test/graphs/run.go
+++ b/internal/test/graphs/run.go
@@ -77,7 +77,7 @@
 		began: time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC), jobs: map[chestnutpond.JobID]*job{},
 		result: Result{Jobs: len(jobs), Bound: bound(jobs), Late: map[string]int{}},
 	}
-	l.planner = plan.New(plan.Config{Epoch: 1, Lease: lease, Wall: l.began, Retention: time.Hour, RemoteSlowdown: 3, LearnDurations: r.Learn})
+	l.planner = plan.New(plan.Config{Epoch: 1, Lease: lease, Wall: l.began, Retention: time.Hour, RemoteSlowdown: 3, Policy: plan.Policy{LearnDurations: r.Learn}})
 	document := chestnutpond.Document{Version: 1}
 	for _, name := range r.accountNames() {
 		document.Accounts = append(document.Accounts, chestnutpond.Account{Name: name})
--- a/internal/test/world/learned_test.go
+++ b/internal/test/world/learned_test.go
@@ -44,7 +44,7 @@
 	}
 	for name, tt := range cases {
 		t.Run(name, func(t *testing.T) {
-			playWith(t, 2*time.Second, func(c *Config) { c.LearnDurations = tt.learns }, func(t *testing.T, w *World) {
+			playWith(t, 2*time.Second, func(c *Config) { c.Policy.LearnDurations = tt.learns }, func(t *testing.T, w *World) {
 				former := w.Leader()
 				w.learn(t, former, 0xa0, 3)
 				time.Sleep(11 * time.Second)
--- a/internal/test/world/world.go
+++ b/internal/test/world/world.go
@@ -18,6 +18,7 @@
 	"time"
 
 	"github.com/chestnutpond/chestnutpond"
+	"github.com/chestnutpond/chestnutpond/internal/core/plan"
 	"github.com/chestnutpond/chestnutpond/internal/node/fleet"
 	"github.com/chestnutpond/chestnutpond/internal/obs/slogs"
 	"github.com/chestnutpond/chestnutpond/internal/test/stand"
@@ -59,8 +60,8 @@
 	Out io.Writer
 	// MaxRecord bounds a record of the store in bytes; zero means that of the platform.
 	MaxRecord int
-	// LearnDurations has the leaders learn how long tasks run.
-	LearnDurations bool
+	// Policy switches parts of the leaders' planners.
+	Policy plan.Policy
 	// Wall is the entries' time of day; nil means that of the machine.
 	Wall func() time.Time
 }
@@ -217,7 +218,7 @@
 		ParseEvacuation: func(key string) (string, bool) { return strings.CutPrefix(key, evacuationPrefix) },
 		EvacuationDelay: w.cfg.EvacuationDelay,
 		MaxRecord:       w.cfg.MaxRecord, Retention: 2 * time.Minute, RemoteSlowdown: 3, RestoreTime: 100 * time.Millisecond, Adviser: w.cfg.Adviser,
-		LearnDurations: w.cfg.LearnDurations,
+		Policy: w.cfg.Policy,
 	})
 	done := make(chan struct{})
 	e.node, e.stop, e.done = node, stop, done
--- a/internal/tool/launch/fleet.go
+++ b/internal/tool/launch/fleet.go
@@ -15,6 +15,7 @@
 	"github.com/oklog/run"
 	"github.com/urfave/cli/v3"
 
+	"github.com/chestnutpond/chestnutpond/internal/core/plan"
 	"github.com/chestnutpond/chestnutpond/internal/node/fleet"
 	"github.com/chestnutpond/chestnutpond/internal/node/rest"
 	"github.com/chestnutpond/chestnutpond/internal/node/roster"
@@ -57,8 +58,10 @@
 	return []*cli.Command{
 		{
 			Name: "fleet-entry", Usage: "run the process on an entry host of the platform",
-			Flags:  []cli.Flag{settings},
-			Action: func(ctx context.Context, c *cli.Command) error { return runFleetEntry(ctx, c.String("settings")) },
+			Flags: append([]cli.Flag{settings}, policyFlags()...),
+			Action: func(ctx context.Context, c *cli.Command) error {
+				return runFleetEntry(ctx, c.String("settings"), policyOf(c))
+			},
 		},
 		{
 			Name: "fleet-agent", Usage: "run the process beside a worker of the platform",
@@ -183,11 +186,7 @@
 	})
 }
 
-// learnDurations says whether leaders learn how long tasks run. The platform's settings have
-// no key for it.
-const learnDurations = false
-
-func runFleetEntry(ctx context.Context, path string) error {
+func runFleetEntry(ctx context.Context, path string, policy plan.Policy) error {
 	p, err := newOnPlatform(path)
 	if err != nil {
 		return err
@@ -198,7 +197,7 @@
 		Base: p.base, ParseDocument: platform.ParseDesired, Wall: time.Now,
 		ParseEvacuation: platform.ParseEvacuation, EvacuationDelay: s.EvacuationDelay,
 		MaxRecord: s.MaxRecord, Retention: s.Retention, RemoteSlowdown: s.RemoteSlowdown, RestoreTime: s.RestoreTime,
-		LearnDurations: learnDurations,
+		Policy: policy,
 	}
 	if s.Advice != "" {
 		c.Adviser = platform.NewAdviser(s.Advice)
--- /dev/null
+++ b/internal/tool/launch/policy.go
@@ -0,0 +1,27 @@
+package launch
+
+import (
+	"github.com/urfave/cli/v3"
+
+	"github.com/chestnutpond/chestnutpond/internal/core/plan"
+)
+
+// The flags that switch parts of the planner on. All entries of a deployment have the same.
+const (
+	flagLearnDurations = "learn-durations"
+	flagPreemptEarly   = "preempt-early"
+)
+
+// policyFlags returns the flags of a planner's policy. A deployment that sets none is
+// scheduled as before these parts existed.
+func policyFlags() []cli.Flag {
+	return []cli.Flag{
+		&cli.BoolFlag{Name: flagLearnDurations, Usage: "predict the durations of tasks from ended runs"},
+		&cli.BoolFlag{Name: flagPreemptEarly, Usage: "let urgent work preempt at once where that costs little"},
+	}
+}
+
+// policyOf returns the policy that the flags of a command state.
+func policyOf(c *cli.Command) plan.Policy {
+	return plan.Policy{LearnDurations: c.Bool(flagLearnDurations), PreemptEarly: c.Bool(flagPreemptEarly)}
+}
