Evacuations are records of the ledger, and placement and routing obey them

Cause: operators of the product's own deployments cannot empty an availability zone; only graphs on the users' platform have evacuations.

Change: a record evacuate requests or revokes the evacuation of a zone. It names the version of the zone's state that its author knew, so that a delayed or repeated copy never reverts a later request. A start record names the zones of its workers and has no effect if one of them is being evacuated. place: workers of an evacuated zone get no jobs, cells and claims leave them, attempts that have not started are stopped and placed elsewhere, running ones end. route: upstreams there get no requests, as with draining ones, for which there is no fallback either; open requests end.

Result: the property tests of the three packages draw requests and undos in their histories; tests of the three packages pass with -race. With the check of the zone removed from usable (place, route), with unbindCells or with the stop of unstarted attempts removed, they fail.

--- a/internal/core/ledger/apply.go
+++ b/internal/core/ledger/apply.go
@@ -22,6 +22,8 @@
 	// ChangeCancelling means that a running job was cancelled and must be stopped.
 	ChangeCancelling
 	ChangeIntents
+	// ChangeEvacuation means that the evacuation of a zone was requested or revoked.
+	ChangeEvacuation
 )
 
 // Change is the effect of one record.
@@ -31,6 +33,7 @@
 	By      Origin
 	Service string
 	Region  string
+	Zone    string
 	Job     chestnutpond.JobID
 	Attempt int64
 	// Cancel means that the change was made by a caller's cancellation.
@@ -80,6 +83,8 @@
 		change := s.cancel(offset, b)
 		change.Cancel = change.Kind != ChangeNone
 		return change
+	case Evacuate:
+		return s.evacuate(offset, b)
 	case Intents:
 		return s.openIntents(offset, by, b)
 	case CloseIntents:
@@ -150,7 +155,7 @@
 	if !ok || j.State != chestnutpond.JobQueued || b.Attempt <= j.Attempt {
 		return Change{}
 	}
-	if !s.holdsTerm(by, j, b.Region, b.Term) {
+	if !s.holdsTerm(by, j, b.Region, b.Term) || s.AnyEvacuated(b.Zones) {
 		return Change{}
 	}
 	s.setState(j, chestnutpond.JobRunning)
--- a/internal/core/ledger/doc.go
+++ b/internal/core/ledger/doc.go
@@ -1,7 +1,7 @@
 // Package ledger implements the replicated state machine that all entries
 // share. It folds the records of the deployment's log stream into a state: the
-// published documents, the leadership terms of the regions, the jobs, and the
-// intents of non-idempotent requests.
+// published documents, the leadership terms of the regions, the jobs, the zones
+// under evacuation, and the intents of non-idempotent requests.
 //
 // The fold is deterministic: processes that applied the same records have equal
 // states, independent of clocks and scheduling. A record whose precondition does
--- a/internal/core/ledger/ledger_test.go
+++ b/internal/core/ledger/ledger_test.go
@@ -156,11 +156,12 @@
 		data  string
 		newer bool
 	}{
-		"truncated":     {`{"version":1,"kind":"job_acc`, false},
-		"empty":         {``, false},
-		"unknown kind":  {`{"version":1,"kind":"other","body":{}}`, false},
-		"wrong type":    {`{"version":1,"kind":"term","body":{"number":"x"}}`, false},
-		"later release": {`{"version":2,"kind":"term","body":{}}`, true},
+		"truncated":                     {`{"version":1,"kind":"job_acc`, false},
+		"empty":                         {``, false},
+		"unknown kind":                  {`{"version":1,"kind":"other","body":{}}`, false},
+		"wrong type":                    {`{"version":1,"kind":"term","body":{"number":"x"}}`, false},
+		"later release":                 {`{"version":2,"kind":"term","body":{}}`, true},
+		"evacuation of a later release": {`{"version":3,"kind":"evacuate","body":{}}`, true},
 	}
 	for name, tc := range tests {
 		t.Run(name, func(t *testing.T) {
@@ -198,6 +199,9 @@
 		CancelJob{Job: job},
 		Intents{Intents: []IntentID{{Key: "k", ID: id}}},
 		CloseIntents{Closed: []ClosedIntent{{Key: "k", ID: id, NotRun: n > 2}}},
+		Evacuate{Zone: id, Base: n, Operator: id},
+		Evacuate{Zone: id, Base: n, Operator: id, Undo: true},
+		StartJob{Job: job, Attempt: n, Region: "pampa", Term: term, Zones: []string{id}},
 	}).Draw(t, "body")
 }
 
--- a/internal/core/ledger/record.go
+++ b/internal/core/ledger/record.go
@@ -12,9 +12,15 @@
 // Error is the class of this package's errors.
 var Error = errs.Class("ledger")
 
-// recordVersion is the version of the record format that this code writes and
-// the highest that it reads.
-const recordVersion = 1
+const (
+	// recordVersion is the version of the record format that this code writes and the
+	// highest that it reads, except for evacuations.
+	recordVersion = 1
+	// evacuationVersion is the version of records of evacuations, and of snapshots that
+	// contain some. Releases that do not know them stop there; if they skipped the
+	// record, they would start work in an evacuated zone.
+	evacuationVersion = 2
+)
 
 // Origin is the process that appended a record.
 type Origin struct {
@@ -65,6 +71,9 @@
 	Term       int64                    `json:"term"`
 	Guaranteed bool                     `json:"guaranteed"`
 	Placements []chestnutpond.Placement `json:"placements"`
+	// Zones are the zones of the workers. The record has no effect if one of them is
+	// being evacuated.
+	Zones []string `json:"zones,omitempty"`
 }
 
 // StopJob records that no task of an attempt is running any more. The job is
@@ -150,6 +159,14 @@
 	Body    json.RawMessage `json:"body"`
 }
 
+// versionOf returns the version of records of the kind.
+func versionOf(kind string) int {
+	if kind == (Evacuate{}).kind() {
+		return evacuationVersion
+	}
+	return recordVersion
+}
+
 // VersionError means that a record was written by a newer release. The reader
 // must stop, because it cannot know what the record changes.
 type VersionError struct {
@@ -160,7 +177,7 @@
 // Error implements error.
 func (e *VersionError) Error() string {
 	return fmt.Sprintf("record at offset %d has version %d; this release reads up to version %d",
-		e.Offset, e.Version, recordVersion)
+		e.Offset, e.Version, evacuationVersion)
 }
 
 // FormatError means that a record cannot be decoded. All readers skip it, so
@@ -184,7 +201,7 @@
 	if err != nil {
 		return nil, Error.Wrap(err)
 	}
-	data, err := json.Marshal(envelope{Version: recordVersion, Kind: body.kind(), By: by, Body: raw})
+	data, err := json.Marshal(envelope{Version: versionOf(body.kind()), Kind: body.kind(), By: by, Body: raw})
 	return data, Error.Wrap(err)
 }
 
@@ -195,7 +212,7 @@
 	if err := json.Unmarshal(rec.Data, &env); err != nil {
 		return Origin{}, nil, &FormatError{Offset: rec.Offset, Err: err}
 	}
-	if env.Version > recordVersion {
+	if env.Version > versionOf(env.Kind) {
 		return Origin{}, nil, &VersionError{Offset: rec.Offset, Version: env.Version}
 	}
 	body, err := decodeBody(env)
@@ -227,6 +244,8 @@
 		return decodeAs[Intents](env.Body)
 	case CloseIntents{}.kind():
 		return decodeAs[CloseIntents](env.Body)
+	case Evacuate{}.kind():
+		return decodeAs[Evacuate](env.Body)
 	case SnapshotPart{}.kind():
 		return decodeAs[SnapshotPart](env.Body)
 	}
--- a/internal/core/ledger/snap.go
+++ b/internal/core/ledger/snap.go
@@ -29,6 +29,8 @@
 	Jobs []Job `json:"jobs"`
 	// Intents are in order of offset.
 	Intents []Intent `json:"intents"`
+	// Evacuations are in order of zone names.
+	Evacuations []Evacuation `json:"evacuations,omitempty"`
 }
 
 // Image is a point-in-time copy of a State.
@@ -53,6 +55,9 @@
 			img.Intents = append(img.Intents, in)
 		}
 	}
+	if img.Evacuations = s.Evacuations(); len(img.Evacuations) > 0 {
+		img.Version = evacuationVersion
+	}
 	return &Image{image: img}
 }
 
@@ -85,7 +90,7 @@
 	if err := json.NewDecoder(io.LimitReader(r, snapshotMaxSize)).Decode(&img); err != nil {
 		return nil, Error.Wrap(err)
 	}
-	if img.Version > recordVersion {
+	if img.Version > evacuationVersion {
 		return nil, &VersionError{Offset: img.Next, Version: img.Version}
 	}
 	s := New()
@@ -106,6 +111,9 @@
 	for _, t := range img.Terms {
 		s.terms[t.Region] = t
 	}
+	for _, e := range img.Evacuations {
+		s.evacuations[e.Zone] = e
+	}
 	var ended []Job
 	for _, j := range img.Jobs {
 		s.addJob(&j)
--- a/internal/core/ledger/state.go
+++ b/internal/core/ledger/state.go
@@ -86,7 +86,9 @@
 	// publicationOrder holds the keys of publications, oldest first.
 	publicationOrder []string
 	terms            map[string]Term
-	jobs             map[chestnutpond.JobID]*Job
+	// evacuations holds the last request for each zone, at most evacuationLimit of them.
+	evacuations map[string]Evacuation
+	jobs        map[chestnutpond.JobID]*Job
 	// endedOrder holds the jobs in a final state, in the order in which they ended.
 	endedOrder []chestnutpond.JobID
 	intents    map[string]Intent
@@ -111,6 +113,7 @@
 		configs:      make(map[string]Config),
 		publications: make(map[string]Publication),
 		terms:        make(map[string]Term),
+		evacuations:  make(map[string]Evacuation),
 		jobs:         make(map[chestnutpond.JobID]*Job),
 		intents:      make(map[string]Intent),
 		queued:       make(map[accountRegion]int),
--- a/internal/core/place/core.go
+++ b/internal/core/place/core.go
@@ -45,6 +45,8 @@
 	// keep running, the earliest first.
 	successChecks []successCheck
 
+	// evacuations holds the zones that operators evacuate.
+	evacuations chestnutpond.Evacuations
 	// migrations holds the jobs that are being moved to other workers.
 	migrations []migration
 	// consolidateAt is the earliest time of the next consolidation.
--- a/internal/core/place/decide.go
+++ b/internal/core/place/decide.go
@@ -28,6 +28,8 @@
 	Attempt int64
 	// Placements are the accelerators of the attempt, one entry per member.
 	Placements []chestnutpond.Placement
+	// Zones are the zones of the workers of a started attempt, one per placement.
+	Zones []string
 	// Guaranteed means that the job runs on a cell of its account.
 	Guaranteed bool
 	Reason     string
@@ -240,7 +242,7 @@
 	j.attempt++
 	c.actions = append(c.actions, Action{
 		Kind: ActionStart, Job: j.spec.ID, Attempt: j.attempt,
-		Placements: j.placements(allocs), Guaranteed: j.guaranteed,
+		Placements: j.placements(allocs), Zones: zonesOf(allocs), Guaranteed: j.guaranteed,
 	})
 }
 
@@ -279,6 +281,14 @@
 	return out
 }
 
+func zonesOf(allocs []allocation) []string {
+	zones := make([]string, 0, len(allocs))
+	for _, h := range allocs {
+		zones = append(zones, h.w.Zone)
+	}
+	return zones
+}
+
 func sortInts(v []int) { sort.Ints(v) }
 
 func contains(list []*job, j *job) bool {
--- a/internal/core/place/fit.go
+++ b/internal/core/place/fit.go
@@ -269,13 +269,19 @@
 // Fits reports whether the workers that are up could hold the shape if all
 // their accelerators were free.
 func (c *Core) Fits(shape chestnutpond.Shape) bool {
+	return c.fitsOn(shape, func(w *worker) bool { return w.up })
+}
+
+// fitsOn reports whether the workers that count could hold the shape if all their
+// accelerators were free.
+func (c *Core) fitsOn(shape chestnutpond.Shape, counts func(*worker) bool) bool {
 	if shape.Accelerators < 1 {
 		return false
 	}
 	addUp := func(ws []*worker, to summary) (summary, int) {
 		largest := 0
 		for _, w := range ws {
-			if w.up {
+			if counts(w) {
 				to.whole += w.Accelerators
 				largest = max(largest, w.Accelerators)
 			}
--- a/internal/core/place/fleet.go
+++ b/internal/core/place/fleet.go
@@ -61,10 +61,12 @@
 	rack  *rack
 	slots []slot
 	count [poolCount]int
+	// evacuated means that operators evacuate the worker's zone.
+	evacuated bool
 	health
 }
 
-func (w *worker) usable() bool { return w.up && !w.Draining && !w.ejected }
+func (w *worker) usable() bool { return w.up && !w.Draining && !w.ejected && !w.evacuated }
 
 // size is the number of accelerators that can be allocated.
 func (w *worker) size() int { return min(w.Accelerators, len(w.slots)) }
@@ -180,6 +182,7 @@
 		c.cellsDirty = c.cellsDirty || c.uncovered > 0 || len(c.restored) > 0
 		f.invalidateNoFits()
 	}
+	c.updateEvacuated(cur)
 	if !cur.usable() {
 		c.requeueClaims(cur)
 	}
--- a/internal/core/place/property_test.go
+++ b/internal/core/place/property_test.go
@@ -37,6 +37,8 @@
 	// small makes all jobs small and lets them run as soon as they start.
 	small bool
 	ids   []chestnutpond.JobID
+	// zones are the zones under evacuation.
+	zones chestnutpond.Evacuations
 }
 
 var (
@@ -131,7 +133,7 @@
 	if w.small && w.draw(3, "leaves") == 0 {
 		w.remove()
 	}
-	switch e := w.draw(17, "event"); {
+	switch e := w.draw(18, "event"); {
 	case e < 5:
 		w.submit()
 	case e == 5:
@@ -154,6 +156,8 @@
 		if a, ok := w.pickAttempt(stateStarting, stateRunning, stateStopping); ok {
 			w.takeover(a)
 		}
+	case e == 17:
+		w.evacuate()
 	case e < 15:
 		if a, ok := w.pickAttempt(stateStopping, stateRunning); ok {
 			delete(w.live, a.Job)
@@ -166,6 +170,18 @@
 	}
 }
 
+// evacuate requests or revokes the evacuation of a zone. Half of the requests change
+// nothing.
+func (w *workload) evacuate() {
+	zone := fmt.Sprint("z", w.draw(2, "zone"))
+	if w.draw(2, "undo") == 0 {
+		w.zones = w.zones.With(zone)
+	} else {
+		w.zones = w.zones.Without(zone)
+	}
+	w.c.SetEvacuations(w.now, w.zones)
+}
+
 func (w *workload) remove() {
 	if len(w.ids) == 0 {
 		return
@@ -213,7 +229,7 @@
 	parts := 0
 	for m, p := range a.Placements {
 		r := w.c.fleet.byName[p.Worker]
-		if p.Member != m || r == nil || !r.usable() || p.Incarnation != r.Incarnation {
+		if p.Member != m || r == nil || !r.usable() || w.zones.Contains(r.Zone) || a.Zones[m] != r.Zone || p.Incarnation != r.Incarnation {
 			w.t.Fatalf("start of %s has placement %+v, worker %+v", a.Job, p, r)
 		}
 		total += len(p.Accelerators)
@@ -252,6 +268,10 @@
 // reservation. A guaranteed victim may only be preempted by a guaranteed job of
 // its own account.
 func (w *workload) checkPreempt(a Action, guaranteed bool) {
+	if a.Reason == reasonZoneEvacuated {
+		w.checkEvacuated(a)
+		return
+	}
 	if a.For == "" {
 		w.checkMigration(a, guaranteed)
 		return
@@ -277,6 +297,30 @@
 	w.t.Fatalf("preemption of %s frees nothing that %s claims", a.Job, a.For)
 }
 
+// checkEvacuated checks that an attempt stopped for an evacuation was placed in a zone and
+// had not been reported as running. The zone may be in use again.
+func (w *workload) checkEvacuated(a Action) {
+	j := w.c.jobs[a.Job]
+	if _, ok := w.live[a.Job]; !ok || j.state != stateStopping || j.guaranteed {
+		w.t.Fatalf("stop of %s in state %d, guaranteed %v, for an evacuation", a.Job, j.state, j.guaranteed)
+	}
+}
+
+// checkZones checks that nothing is bound, claimed or still to be started on a worker of
+// an evacuated zone.
+func (w *workload) checkZones() {
+	for _, r := range w.c.fleet.byName {
+		if !r.up || !w.zones.Contains(r.Zone) {
+			continue
+		}
+		for _, s := range r.slots {
+			if s.cell != nil || s.claim != nil || s.job != nil && s.job.state == stateStarting {
+				w.t.Fatalf("evacuated worker %s has cell %v, claim %v, job %v", r.Name, s.cell, s.claim, s.job)
+			}
+		}
+	}
+}
+
 // check checks the invariants of the core's data structures.
 func (w *workload) check() {
 	c := w.c
@@ -284,6 +328,7 @@
 		w.t.Fatalf("%d of %d workers are ejected, above the limit", len(c.ejected), c.fleet.workersUp)
 	}
 	w.checkCells()
+	w.checkZones()
 	w.checkSummaries()
 	used := map[string]int{}
 	for id, a := range w.live {
--- a/internal/core/place/status.go
+++ b/internal/core/place/status.go
@@ -67,6 +67,8 @@
 		return j.reason, true
 	case !c.Fits(j.spec.Shape):
 		return "no worker, rack or zone that is up can hold its shape", true
+	case !c.fitsOn(j.spec.Shape, func(w *worker) bool { return w.up && !w.evacuated }):
+		return "only zones under evacuation can hold its shape", true
 	case j.state == stateDelayed:
 		return "waiting for its next try", true
 	}
--- a/internal/core/route/health.go
+++ b/internal/core/route/health.go
@@ -167,7 +167,7 @@
 	}
 }
 
-func (t *target) usable() bool { return !t.removed && t.Up && !t.Draining }
+func (t *target) usable() bool { return !t.removed && t.Up && !t.Draining && !t.evacuated }
 
 // hasHealthyTarget reports whether the kind has a healthy target other than
 // except.
--- a/internal/core/route/prop_test.go
+++ b/internal/core/route/prop_test.go
@@ -9,6 +9,8 @@
 
 	"gotest.tools/v3/assert"
 	"pgregory.net/rapid"
+
+	"github.com/chestnutpond/chestnutpond"
 )
 
 // TestMain fixes the seed of the property tests to make runs reproducible. The
@@ -86,6 +88,7 @@
 
 var steps = []string{
 	"put", "remove", "begin", "begin", "begin", "begin", "begin", "begin", "begin", "end", "end", "end", "end", "end", "end",
+	"evacuate",
 }
 
 // Guards against more open requests than slots, free lists that miss a target,
@@ -97,6 +100,7 @@
 		r, twin := New(cfg), New(cfg)
 		var opened []openRequest
 		now, far := time.Duration(0), 0
+		var zones chestnutpond.Evacuations
 		for i := range 6 {
 			in := Target{Name: fmt.Sprintf("t%d", i), Region: "r1", Slots: 3, Kinds: []string{"x", "y"}[i/5:], Up: true}
 			r.PutTarget(now, in)
@@ -117,6 +121,15 @@
 				name := drawTarget(t).Name
 				r.RemoveTarget(now, name)
 				twin.RemoveTarget(now, name)
+			case "evacuate":
+				zone := drawTarget(t).Zone
+				if rapid.Bool().Draw(t, "undo") {
+					zones = zones.Without(zone)
+				} else {
+					zones = zones.With(zone)
+				}
+				r.SetEvacuations(now, zones)
+				twin.SetEvacuations(now, zones)
 			case "begin":
 				q := Query{Kind: rapid.SampledFrom([]string{"x", "x", "y"}).Draw(t, "kind"), Exclude: []string{"t0"}}
 				q.Bytes = rapid.IntRange(0, 900).Draw(t, "bytes")
@@ -128,6 +141,7 @@
 					break
 				}
 				o := r.targets[name]
+				assert.Assert(t, !zones.Contains(o.Zone))
 				assert.Assert(t, name != "t0" && o.open < o.Slots && o.usable() && o.health != ejected)
 				r.Begin(now, name, q.Kind, q.Bytes)
 				twin.Begin(now, name, q.Kind, q.Bytes)
--- a/internal/core/route/router.go
+++ b/internal/core/route/router.go
@@ -4,6 +4,8 @@
 	"math/rand/v2"
 	"slices"
 	"time"
+
+	"github.com/chestnutpond/chestnutpond"
 )
 
 // Query describes the request for Pick.
@@ -23,7 +25,9 @@
 	// order holds the targets in the order in which they were added.
 	order         []*target
 	firstTargetAt time.Duration
-	kinds         map[string]*kind
+	// evacuations holds the zones that operators evacuate.
+	evacuations chestnutpond.Evacuations
+	kinds       map[string]*kind
 	// tiers has the entry's zone, its region, then other regions in the order of
 	// their first targets.
 	tiers  []*tier
--- a/internal/core/route/target.go
+++ b/internal/core/route/target.go
@@ -57,6 +57,8 @@
 	tier *tier
 	// removed is set if the target was removed while requests were open on it.
 	removed bool
+	// evacuated means that operators evacuate the target's zone.
+	evacuated bool
 	// open is the number of requests that this entry has open on the target.
 	open int
 	// othersBusy is an estimate, as of othersBusyAt, of the slots in use by other
@@ -143,6 +145,7 @@
 		r.setKinds(t, in.Kinds)
 	}
 	t.Target = in
+	t.evacuated = r.evacuations.Contains(in.Zone)
 	r.setTier(t)
 	// A recent report that came with an answer is newer than one relayed by other
 	// processes.
@@ -228,7 +231,7 @@
 // canAccept reports whether the target can accept another request. If it can't,
 // the returned time is when this may change without a further event, or zero.
 func (r *Router) canAccept(now time.Duration, t *target) (bool, time.Duration) {
-	if t.removed || !t.Up || t.Draining || t.open >= t.Slots {
+	if !t.usable() || t.open >= t.Slots {
 		return false, 0
 	}
 	if t.Connections > 0 && t.open >= t.Connections {
