chestnutpond evacuate ZONE, and the status of evacuated zones

Cause: the ledger knows evacuations, but no operator can request one.

Change: PUT, DELETE and GET /v1/evacuations for operators and the command evacuate, with the outcomes and exit codes of publish. The entry appends also a request that changes nothing for it, because newer records may say otherwise; a request that another one overtook is lost. Entries, schedulers and routers follow the folded state. A scheduler checks it before it records and before it commits a start. The status lists evacuated zones with their offset, time and operator, the jobs and requests there and the guarantees that do not fit. Gauges zone_evacuated and evacuated_zone_jobs; the log names who asked.

--- a/internal/node/entry/entry.go
+++ b/internal/node/entry/entry.go
@@ -331,8 +331,11 @@
 }
 
 func (e *Entry) logChanged(c ledger.Change) {
-	if c.Kind == ledger.ChangeConfig {
+	switch c.Kind {
+	case ledger.ChangeConfig:
 		e.applyDocument()
+	case ledger.ChangeEvacuation:
+		e.evacuationChanged(c)
 	}
 	e.recordJobEvent(c)
 	e.sched.LogChanged(c)
@@ -359,6 +362,8 @@
 }
 
 func (e *Entry) logReplaced() {
+	// Evacuations come first, because requests are served once there is a document.
+	e.applyEvacuations()
 	e.applyDocument()
 	e.sched.LogReplaced()
 	e.group.LogChanged(ledger.Change{})
--- a/internal/node/entry/http.go
+++ b/internal/node/entry/http.go
@@ -54,6 +54,9 @@
 	r.PUT("/v1/document", e.requireOperator(e.putDocument))
 	r.GET("/v1/document", e.requireOperator(e.getDocument))
 	r.GET("/v1/publications/:id", e.requireOperator(e.getPublication))
+	r.GET("/v1/evacuations", e.requireOperator(e.getEvacuations))
+	r.PUT("/v1/evacuations", e.requireOperator(e.putEvacuation))
+	r.DELETE("/v1/evacuations", e.requireOperator(e.deleteEvacuation))
 	r.GET("/v1/events", e.requireOperator(e.getEvents))
 	return r
 }
--- a/internal/node/entry/status.go
+++ b/internal/node/entry/status.go
@@ -91,6 +91,8 @@
 	Jobs          []jobView      `json:"jobs"`
 	Upstreams     []upstreamView `json:"upstreams"`
 	Entries       []entryView    `json:"entries"`
+	// Evacuations are the zones under evacuation.
+	Evacuations []evacuationView `json:"evacuations"`
 }
 
 func (e *Entry) getJobs(c echo.Context, who principal) error {
@@ -180,7 +182,9 @@
 		}
 		v.Accounts = append(v.Accounts, newAccountViews(t.Region, reply, who)...)
 	}
-	for _, j := range e.visibleJobs(who) {
+	jobs := e.visibleJobs(who)
+	v.Evacuations = e.newEvacuationViews(who, v.Accounts, jobs)
+	for _, j := range jobs {
 		v.Jobs = append(v.Jobs, e.newJobView(j, reasons))
 	}
 	for _, row := range e.group.Rows() {
--- a/internal/node/sched/attempt.go
+++ b/internal/node/sched/attempt.go
@@ -47,6 +47,8 @@
 	spec       chestnutpond.JobSpec
 	number     int64
 	placements []chestnutpond.Placement
+	// zones are the zones of the placements; empty if the attempt is adopted.
+	zones      []string
 	guaranteed bool
 	checkpoint string
 	// adopted means that another entry started the attempt.
@@ -113,6 +115,11 @@
 		waitRetry(ctx)
 		return outcome{kind: outcomeStartFailed, failure: *f}
 	}
+	if a.placedInEvacuatedZone() {
+		a.releaseReservations(ctx)
+		waitRetry(ctx)
+		return outcome{kind: outcomeRequeued}
+	}
 	recorded, final := a.recordStart(ctx)
 	if !recorded {
 		a.releaseReservations(ctx)
@@ -120,9 +127,15 @@
 			return outcome{kind: outcomeFinal}
 		}
 		waitRetry(ctx)
+		if a.placedInEvacuatedZone() {
+			return outcome{kind: outcomeRequeued}
+		}
 		return outcome{kind: outcomeStartFailed, failure: place.Failure{Reason: "the start could not be recorded"}}
 	}
 	a.activeSince = a.sched.mgr.cfg.Members.Now()
+	if a.placedInEvacuatedZone() {
+		return a.abort(ctx, "zone is evacuated", outcome{kind: outcomeRequeued})
+	}
 	if f := a.commit(ctx); f != nil {
 		return a.abort(ctx, f.Reason, outcome{kind: outcomeStartFailed, failure: *f})
 	}
@@ -134,7 +147,7 @@
 func (a *attempt) recordStart(ctx context.Context) (recorded, final bool) {
 	body := ledger.StartJob{
 		Job: a.spec.ID, Attempt: a.number, Region: a.sched.name, Term: a.sched.term,
-		Guaranteed: a.guaranteed, Placements: a.placements,
+		Guaranteed: a.guaranteed, Placements: a.placements, Zones: a.zones,
 	}
 	// ambiguous means that an earlier append may still take effect, so that a
 	// later rejected append does not prove the start void.
--- a/internal/node/sched/manager.go
+++ b/internal/node/sched/manager.go
@@ -150,6 +150,10 @@
 		m.wake()
 		return
 	}
+	if c.Kind == ledger.ChangeEvacuation {
+		m.evacuationsChanged()
+		return
+	}
 	if r := m.scheduler(c.Region); r != nil {
 		r.logChanged(c)
 	}
--- a/internal/node/sched/metrics.go
+++ b/internal/node/sched/metrics.go
@@ -21,6 +21,8 @@
 	running, ejected      metrics.Gauge
 	claimStart            *stats.Seconds
 	accounts              map[string]*accountMetrics
+	// evacuatedJobs holds the gauges by zone, for zones that were under evacuation in the term.
+	evacuatedJobs map[string]metrics.Gauge
 }
 
 // accountMetrics holds the gauges of one account in the region.
@@ -32,7 +34,7 @@
 func newRegionMetrics(r *stats.Registry, region string) *regionMetrics {
 	l := stats.Label{Name: "region", Value: region}
 	return &regionMetrics{
-		registry: r, region: l, accounts: make(map[string]*accountMetrics),
+		registry: r, region: l, accounts: make(map[string]*accountMetrics), evacuatedJobs: make(map[string]metrics.Gauge),
 		preemptions: r.Counter("preemptions_total", "Attempts told to make room for another job.", l),
 		workLost: r.Counter("work_lost_accelerator_seconds_total",
 			"Accelerators times seconds of attempts that were stopped without a checkpoint.", l),
@@ -81,6 +83,7 @@
 func (m *regionMetrics) clear() {
 	m.running.Update(0)
 	m.ejected.Update(0)
+	m.updateEvacuated(nil)
 	for _, a := range m.accounts {
 		a.uncovered.Update(0)
 		a.waiting.Update(0)
@@ -100,6 +103,7 @@
 	r.reported.nextReport = now + reportInterval
 	r.recordWaitReasons()
 	r.metrics.update(r.core.Status(now), r.runningJobs(), len(r.core.Ejected()))
+	r.metrics.updateEvacuated(r.core.EvacuatedJobs())
 }
 
 // recordClaim stores when accelerators were first claimed for a job. The caller
--- a/internal/node/sched/scheduler.go
+++ b/internal/node/sched/scheduler.go
@@ -73,6 +73,7 @@
 func (r *regionScheduler) load(doc chestnutpond.Document) {
 	now := r.mgr.now()
 	r.core.HoldPreemption(now, now+fleetSettleTime)
+	r.loadEvacuations()
 	r.core.SetDocument(now, doc)
 	for _, row := range r.mgr.cfg.Members.Rows() {
 		if row.Member.GetRegion() == r.name && !row.Lost {
@@ -194,6 +195,7 @@
 	}
 	a := newAttempt(r, job.Spec, action.Attempt, action.Placements, action.Guaranteed)
 	a.checkpoint = job.Checkpoint
+	a.zones = r.zonesOf(action)
 	r.attempts[action.Job] = a
 	r.emit(chestnutpond.EventPlaced, a, action.Reason)
 	if action.Guaranteed {
--- a/internal/node/serve/server.go
+++ b/internal/node/serve/server.go
@@ -178,6 +178,14 @@
 	s.dispatch()
 }
 
+// SetEvacuations applies the set of zones that operators evacuate.
+func (s *Server) SetEvacuations(zones chestnutpond.Evacuations) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.router.SetEvacuations(s.now(), zones)
+	s.dispatch()
+}
+
 // AgentChanged updates the routing target of an agent from its newest row.
 func (s *Server) AgentChanged(row fleet.Row) {
 	m := row.Member
--- a/internal/tool/client/client.go
+++ b/internal/tool/client/client.go
@@ -1,5 +1,5 @@
 // Package client is the command line of callers and operators: check, publish,
-// submit, cancel, status, timeline and explain.
+// evacuate, submit, cancel, status, timeline and explain.
 //
 // All but check and explain talk to the HTTP server of an entry. Several entries may be
 // given. The next one is tried when a connection fails and nothing was sent,
@@ -27,7 +27,7 @@
 	ExitFailed = 1
 	// ExitRejected is wrong input; nothing ran.
 	ExitRejected = 2
-	// ExitLost means that another publication came first.
+	// ExitLost means that another publication, or another request for the zone, came first.
 	ExitLost = 3
 	// ExitUnknown means that the command may have taken effect.
 	ExitUnknown = 4
@@ -36,7 +36,7 @@
 )
 
 const exitCodes = `Exit codes: 0 done; 1 wrong command line or no entry reached, nothing ran;
-2 rejected, nothing ran; 3 lost to another publication; 4 unknown, it may have
+2 rejected, nothing ran; 3 lost to another operator's; 4 unknown, it may have
 taken effect; 5 not run, may be repeated later.`
 
 const (
@@ -61,6 +61,7 @@
 	return []*cli.Command{
 		checkCommand(),
 		publishCommand(),
+		evacuateCommand(),
 		submitCommand(),
 		cancelCommand(),
 		statusCommand(),
--- a/internal/tool/client/status.go
+++ b/internal/tool/client/status.go
@@ -44,6 +44,8 @@
 	Jobs          []job           `json:"jobs"`
 	Upstreams     []upstreamState `json:"upstreams"`
 	Entries       []entryState    `json:"entries"`
+	// Evacuations are the zones under evacuation.
+	Evacuations []evacuationState `json:"evacuations"`
 }
 
 type logState struct {
@@ -80,6 +82,16 @@
 	Free         value  `json:"free"`
 }
 
+type evacuationState struct {
+	Zone      string   `json:"zone"`
+	Since     value    `json:"since"`
+	Offset    value    `json:"offset"`
+	Operator  string   `json:"operator"`
+	Jobs      value    `json:"jobs"`
+	Requests  value    `json:"requests"`
+	Uncovered []string `json:"uncovered"`
+}
+
 type entryState struct {
 	Name   string `json:"name"`
 	Region string `json:"region"`
@@ -208,6 +220,10 @@
 		u := all.Upstreams[i]
 		return row(u.Name, u.Region, u.Zone, u.Rack, u.State, string(u.Slots), string(u.Busy), string(u.Accelerators), string(u.Free))
 	})
+	s.table("EVACUATED ZONE\tSINCE\tOFFSET\tOPERATOR\tJOBS THERE\tREQUESTS THERE\tGUARANTEES THAT DO NOT FIT", len(all.Evacuations), func(i int) string {
+		e := all.Evacuations[i]
+		return row(e.Zone, string(e.Since), string(e.Offset), e.Operator, string(e.Jobs), string(e.Requests), strings.Join(e.Uncovered, ","))
+	})
 	s.table("ENTRY\tREGION\tZONE", len(all.Entries), func(i int) string {
 		e := all.Entries[i]
 		return row(e.Name, e.Region, e.Zone)
--- a/outcome.go
+++ b/outcome.go
@@ -22,8 +22,13 @@
 	OutcomeCancelled Outcome = "cancelled"
 	// OutcomePublished means that the document is in the log.
 	OutcomePublished Outcome = "published"
-	// OutcomeLost means that another publication was accepted first.
+	// OutcomeLost means that another publication, or another request for the same zone,
+	// was accepted first.
 	OutcomeLost Outcome = "lost"
+	// OutcomeEvacuated means that no new work starts in the zone.
+	OutcomeEvacuated Outcome = "evacuated"
+	// OutcomeEvacuationUndone means that the zone is in use.
+	OutcomeEvacuationUndone Outcome = "evacuation_undone"
 )
 
 // Reason is the machine-readable reason of an outcome.
@@ -53,6 +58,8 @@
 	ReasonJobLimit    Reason = "job_limit"
 	ReasonIntentLimit Reason = "intent_limit"
 	ReasonBase        Reason = "base_version"
+	ReasonUnknownZone Reason = "unknown_zone"
+	ReasonZoneLimit   Reason = "zone_limit"
 	// ReasonNoRoute means that the HTTP interface has no such path or method.
 	ReasonNoRoute Reason = "no_route"
 )
