--- a/internal/node/entry/entry.go
+++ b/internal/node/entry/entry.go
@@ -331,12 +331,10 @@
 }
 
 func (e *Entry) logChanged(c ledger.Change) {
-	switch c.Kind {
-	case ledger.ChangeConfig:
+	if c.Kind == ledger.ChangeConfig {
 		e.applyDocument()
-	case ledger.ChangeEvacuation:
-		e.evacuationChanged(c)
 	}
+	e.evacuationChanged(c)
 	e.recordJobEvent(c)
 	e.sched.LogChanged(c)
 	e.group.LogChanged(c)
--- a/internal/node/entry/evacuate.go
+++ b/internal/node/entry/evacuate.go
@@ -141,8 +141,12 @@
 	}
 }
 
-// evacuationChanged applies a change of a zone's evacuation and logs who requested it.
+// evacuationChanged applies a change of a zone's evacuation and logs who requested it. It
+// ignores other changes.
 func (e *Entry) evacuationChanged(change ledger.Change) {
+	if change.Kind != ledger.ChangeEvacuation {
+		return
+	}
 	e.applyEvacuations()
 	var ev ledger.Evacuation
 	e.tail.View(func(st *ledger.State) { ev = st.Evacuation(change.Zone) })
--- a/internal/node/jobsvc/view.go
+++ b/internal/node/jobsvc/view.go
@@ -42,5 +42,8 @@
 	for _, a := range f.document.Accounts {
 		view.Guarantees[a.Name] = a.Accelerators
 	}
+	for i, e := range view.Evacuations {
+		view.Evacuations[i].Offset = f.evacuations[e.Zone].offset
+	}
 	return view
 }
--- a/internal/node/lead/evacuate.go
+++ b/internal/node/lead/evacuate.go
@@ -44,3 +44,17 @@
 	}
 	t.planner.SetStartsHeld(held)
 }
+
+// evacuationViews returns the zones under evacuation, without offsets. The lock is held.
+func (m *Manager) evacuationViews() []chestnutpond.EvacuationView {
+	var runs map[string]int
+	if m.term != nil {
+		runs = m.term.planner.EvacuatedRuns()
+	}
+	views := make([]chestnutpond.EvacuationView, 0, len(m.evacuations.Zones()))
+	for _, zone := range m.evacuations.Zones() {
+		n, known := runs[zone]
+		views = append(views, chestnutpond.EvacuationView{Zone: zone, Runs: n, RunsKnown: known})
+	}
+	return views
+}
--- a/internal/node/lead/view.go
+++ b/internal/node/lead/view.go
@@ -32,8 +32,8 @@
 func (m *Manager) Overview() chestnutpond.FleetView {
 	m.mu.Lock()
 	leader := m.table.Leader()
+	view := chestnutpond.FleetView{Epoch: leader.GetEpoch(), Evacuations: m.evacuationViews()}
 	m.mu.Unlock()
-	view := chestnutpond.FleetView{Epoch: leader.GetEpoch()}
 	if !leader.GetReleased() {
 		view.Leader = leader.GetEntry().GetName()
 	}
--- a/internal/node/rest/status.go
+++ b/internal/node/rest/status.go
@@ -45,6 +45,14 @@
 	NextOffset int64 `json:"next_offset"`
 }
 
+// evacuationView is a zone under evacuation.
+type evacuationView struct {
+	Zone   string `json:"zone"`
+	Offset int64  `json:"offset"`
+	// Jobs is the number of runs that may exist there; only the leader reports it.
+	Jobs *int `json:"jobs,omitempty"`
+}
+
 type statusView struct {
 	Entry         string        `json:"entry"`
 	Service       string        `json:"service"`
@@ -54,6 +62,8 @@
 	Accounts      []accountView `json:"accounts"`
 	Jobs          []jobView     `json:"jobs"`
 	Entries       []entryView   `json:"entries"`
+	// Evacuations are the zones under evacuation.
+	Evacuations []evacuationView `json:"evacuations"`
 }
 
 // allRegions is the region shown for the leader, which schedules for all regions.
@@ -98,7 +108,7 @@
 		Entry: s.cfg.Name, Service: fleet.Service, ConfigVersion: fleet.Version,
 		Log:     logView{Available: fleet.Available, NextOffset: fleet.Next},
 		Regions: []regionView{{Region: allRegions, Scheduler: fleet.Leader, Term: fleet.Epoch}},
-		Jobs:    []jobView{},
+		Jobs:    []jobView{}, Evacuations: []evacuationView{},
 	}
 	waiting := 0
 	for _, g := range s.cfg.Inspector.Jobs(account) {
@@ -111,5 +121,12 @@
 	for _, e := range fleet.Entries {
 		status.Entries = append(status.Entries, entryView{Name: e.Name, Region: e.Region, Zone: e.Zone})
 	}
+	for _, e := range fleet.Evacuations {
+		v := evacuationView{Zone: e.Zone, Offset: e.Offset}
+		if e.RunsKnown {
+			v.Jobs = &e.Runs
+		}
+		status.Evacuations = append(status.Evacuations, v)
+	}
 	return c.JSON(http.StatusOK, status)
 }
--- a/internal/test/world/evacuate_test.go
+++ b/internal/test/world/evacuate_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"strings"
 	"testing"
 	"time"
 
@@ -125,3 +126,30 @@
 		assert.Assert(t, w.Until(4*time.Second, func() bool { return w.lastStart("zone-1").After(began) }))
 	})
 }
+
+// Guards against an evacuation that the status of an entry does not show, and one that it
+// shows after the undo.
+func TestEvacuationInStatus(t *testing.T) {
+	set := func(c *Config) {
+		c.Zones, c.EvacuationDelay = 2, evacuationDelay
+		withTokens(c)
+	}
+	playWith(t, time.Second, set, func(t *testing.T, w *World) {
+		shown := func(e *Entry) string {
+			_, list, found := strings.Cut(e.rest(t, "GET", "/v1/status", salesToken, "", "").text, `"evacuations":`)
+			assert.Assert(t, found)
+			return list
+		}
+		w.SetEvacuated("zone-1", true)
+		time.Sleep(evacuationDelay)
+		for _, e := range w.Entries {
+			assert.Assert(t, strings.HasPrefix(shown(e), `[{"zone":"zone-1","offset":`), shown(e))
+			assert.Equal(t, strings.Contains(shown(e), `"jobs":0`), e == w.Leader(), shown(e))
+		}
+		w.SetEvacuated("zone-1", false)
+		time.Sleep(evacuationDelay)
+		for _, e := range w.Entries {
+			assert.Assert(t, strings.HasPrefix(shown(e), "[]"), shown(e))
+		}
+	})
+}
--- a/service.go
+++ b/service.go
@@ -96,6 +96,18 @@
 	// Guarantees is the number of guaranteed accelerators by account.
 	Guarantees map[string]int64
 	Entries    []EntryView
+	// Evacuations are the zones under evacuation, by name.
+	Evacuations []EvacuationView
+}
+
+// EvacuationView describes a zone under evacuation.
+type EvacuationView struct {
+	Zone string
+	// Offset is that of the newest request that was read.
+	Offset int64
+	// Runs is the number of runs that may exist in the zone; only the leader knows it.
+	Runs      int
+	RunsKnown bool
 }
 
 // EntryView describes an entry that the reporting entry has discovered.
