Tests of evacuations during a start and with the store away

Cause: no test failed when attempts did not check for an evacuation before they commit, and none covered a request while the store is away.

Change: a test with late answers of the log, in which the request is read between the record of a start and its commit; two rows in the test of outages. The unknown answer to a request names the zone as its id, which that test expects of every unknown answer.

With the check removed, TestEvacuationBeforeCommit fails; with changes not passed on to the schedulers, TestEvacuationDuringStart; with changes not applied at the entry, TestEvacuation of the entry.

--- a/internal/node/entry/evacuate.go
+++ b/internal/node/entry/evacuate.go
@@ -101,7 +101,7 @@
 	}
 	return reply.Fail(c, http.StatusGatewayTimeout, reply.Failure{
 		Outcome: chestnutpond.OutcomeUnknown, Reason: chestnutpond.ReasonLogUnavailable,
-		Detail: "repeat the request until it is confirmed",
+		Detail: "repeat the request until it is confirmed", ID: before.Zone,
 	})
 }
 
--- a/internal/node/entry/http_test.go
+++ b/internal/node/entry/http_test.go
@@ -149,6 +149,16 @@
 			call{method: "PUT", path: "/v1/document?base=1&id=p", token: operatorToken, body: testDocument},
 			http.StatusGatewayTimeout, chestnutpond.OutcomeUnknown,
 		},
+		"evacuation refused": {
+			stand.LogFaults{Outage: true},
+			call{method: "PUT", path: "/v1/evacuations?zone=pampa-a", token: operatorToken},
+			http.StatusServiceUnavailable, chestnutpond.OutcomeNotRun,
+		},
+		"evacuation without answer": {
+			stand.LogFaults{Delay: stand.Duration(time.Hour)},
+			call{method: "DELETE", path: "/v1/evacuations?zone=pampa-a", token: operatorToken},
+			http.StatusGatewayTimeout, chestnutpond.OutcomeUnknown,
+		},
 		"job refused": {
 			stand.LogFaults{Outage: true},
 			jobCall(salesToken, "k", fullWorkerJob),
--- a/internal/node/sched/evacuate_test.go
+++ b/internal/node/sched/evacuate_test.go
@@ -10,6 +10,7 @@
 
 	"github.com/chestnutpond/chestnutpond"
 	"github.com/chestnutpond/chestnutpond/internal/core/ledger"
+	"github.com/chestnutpond/chestnutpond/internal/test/stand"
 	"github.com/chestnutpond/chestnutpond/internal/wire/inner"
 )
 
@@ -49,18 +50,25 @@
 func (cl *cluster) liveIn() int { return len(cl.liveTasks()) }
 
 // liveTasks returns the live tasks on the workers of the evacuated zone.
-func (cl *cluster) liveTasks() map[chestnutpond.TaskID]bool {
+func (cl *cluster) liveTasks() map[chestnutpond.TaskID]bool { return cl.tasksIn(isLive) }
+
+// committed returns the tasks that the workers of the evacuated zone were told to start.
+func (cl *cluster) committed() map[chestnutpond.TaskID]bool {
+	return cl.tasksIn(func(*inner.Task) bool { return true })
+}
+
+func (cl *cluster) tasksIn(match func(*inner.Task) bool) map[chestnutpond.TaskID]bool {
 	cl.mu.Lock()
 	defer cl.mu.Unlock()
-	live := make(map[chestnutpond.TaskID]bool)
+	tasks := make(map[chestnutpond.TaskID]bool)
 	for _, a := range cl.agents {
 		for _, task := range a.member.GetTasks() {
-			if a.member.GetZone() == evacuatedZone && isLive(task) {
-				live[taskID(task.GetJob(), task.GetAttempt(), task.GetMember())] = true
+			if a.member.GetZone() == evacuatedZone && match(task) {
+				tasks[taskID(task.GetJob(), task.GetAttempt(), task.GetMember())] = true
 			}
 		}
 	}
-	return live
+	return tasks
 }
 
 // TestEvacuation guards against a start in an evacuated zone, a running job that is cut
@@ -153,19 +161,14 @@
 		b := cl.addEntry("b")
 		time.Sleep(10 * time.Second)
 		cl.mu.Lock()
-		restarted := cl.agents["w0"]
-		restarted.member = &inner.Member{
-			Name: "w0", Incarnation: 2, Sequence: 1, Address: "w0", Region: "pampa", Zone: evacuatedZone,
-			Rack: "r0", Accelerators: 8, Upstream: &inner.Upstream{},
-		}
-		joined := &agent{
-			member: &inner.Member{
-				Name: "w00", Incarnation: 1, Sequence: 1, Address: "w00", Region: "pampa", Zone: evacuatedZone,
+		member := func(name string, incarnation int64) *inner.Member {
+			return &inner.Member{
+				Name: name, Incarnation: incarnation, Sequence: 1, Address: name, Region: "pampa", Zone: evacuatedZone,
 				Rack: "r0", Accelerators: 8, Upstream: &inner.Upstream{},
-			},
-			fenced: make(map[string]int64), holds: make(map[string]time.Time),
+			}
 		}
-		cl.agents["w00"] = joined
+		cl.agents["w0"].member = member("w0", 2)
+		cl.agents["w00"] = &agent{member: member("w00", 1), fenced: make(map[string]int64), holds: make(map[string]time.Time)}
 		cl.mu.Unlock()
 		for _, row := range b.Rows() {
 			b.manager.AgentChanged(row)
@@ -184,3 +187,34 @@
 		}
 	})
 }
+
+// TestEvacuationBeforeCommit guards against orders to start that are sent after the entry
+// has read the request, because the start was recorded before it. The answers to appends
+// are late.
+func TestEvacuationBeforeCommit(t *testing.T) {
+	for _, delay := range []time.Duration{0, 50 * time.Millisecond, 99 * time.Millisecond, 150 * time.Millisecond} {
+		t.Run(delay.String(), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				cl := newZonedCluster(t)
+				cl.runTime = 20 * time.Second
+				e := cl.addEntry("a")
+				time.Sleep(5 * time.Second)
+				cl.log.SetFaults(stand.LogFaults{AnswerDelay: stand.Duration(100 * time.Millisecond)})
+				known := make(chan map[chestnutpond.TaskID]bool, 1)
+				time.AfterFunc(delay, func() { assert.Check(t, e.evacuate(false)) })
+				time.AfterFunc(delay+5*time.Millisecond, func() { known <- cl.committed() })
+				cl.submit(e, "j", "sales", 16)
+				cl.submit(e, "k", "stock", 16)
+				before := <-known
+				time.Sleep(time.Second)
+				for id := range cl.committed() {
+					assert.Assert(t, before[id], "%s started in the evacuated zone", id)
+				}
+				time.Sleep(settleTime)
+				for _, id := range []string{"j", "k"} {
+					assert.Equal(t, e.state(id), chestnutpond.JobCompleted)
+				}
+			})
+		})
+	}
+}
