--- a/internal/node/entry/entry.go
+++ b/internal/node/entry/entry.go
@@ -334,6 +334,7 @@
 	if c.Kind == ledger.ChangeConfig {
 		e.applyDocument()
 	}
+	e.evacuationChanged(c)
 	e.recordJobEvent(c)
 	e.sched.LogChanged(c)
 	e.group.LogChanged(c)
@@ -359,6 +360,8 @@
 }
 
 func (e *Entry) logReplaced() {
+	// Evacuations come first, because requests are served once there is a document.
+	e.applyEvacuations()
 	e.applyDocument()
 	e.sched.LogReplaced()
 	e.group.LogChanged(ledger.Change{})
