TestShapes draws jobs of many shapes, odd input and faults

Cause: the tests of whole deployments each have a shape of job of their own, mostly one step of equal tasks, and TestChaos checks only single runs, ends and rejections. Change: the stand-ins of workers keep the history of runs with the life that was ordered and that executed; check.Graphs checks steps, schedules, gangs, attempts, labels, spread, cancellations, acceptance, accounts and ends by what clients and workers saw, and is tested with bad histories; TestShapes draws both shapes and the faults of TestChaos and more. Perpetual tasks are not held to the attempts of their queue: they run until they are cancelled. A Kill of the world no longer holds its lock while it waits, which kept virtual time from passing when a call came meanwhile.

--- a/internal/test/stand/taskorders.go
+++ b/internal/test/stand/taskorders.go
@@ -62,6 +62,7 @@
 	f.mu.Lock()
 	late, life := w.late, w.life
 	f.mu.Unlock()
+	call := startCall{at: time.Now(), life: life}
 	if late > 0 {
 		time.AfterFunc(late, func() {
 			f.mu.Lock()
@@ -71,21 +72,21 @@
 				return
 			}
 			// Nobody hears of a refusal.
-			_ = w.start(o)
+			_ = w.start(o, call)
 		})
 		<-ctx.Done()
 		return 0, ctx.Err()
 	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if err := w.start(o); err != nil {
+	if err := w.start(o, call); err != nil {
 		return 0, err
 	}
 	return w.clock(), nil
 }
 
 // start carries out an order. The lock is held.
-func (w *TaskWorker) start(o chestnutpond.StartOrder) error {
+func (w *TaskWorker) start(o chestnutpond.StartOrder, call startCall) error {
 	if err := w.check(o.Worker, o.Fence); err != nil {
 		return err
 	}
@@ -114,15 +115,16 @@
 	if !w.cfg.Capacity.Covers(used) {
 		return w.refuse(chestnutpond.RefusedCapacity)
 	}
-	w.begin(o, model)
+	w.begin(o, model, call)
 	return nil
 }
 
 // begin starts a run. The lock is held.
-func (w *TaskWorker) begin(o chestnutpond.StartOrder, model TaskModel) {
+func (w *TaskWorker) begin(o chestnutpond.StartOrder, model TaskModel, call startCall) {
 	f := w.cfg.Fleet
 	r := &workerRun{worker: w, ref: o.Task, number: o.Run, model: model, percent: 100}
 	w.runs[runID{o.Task, o.Run}] = r
+	f.record(r, call)
 	f.started(r)
 	w.signal()
 	if model.Gang > 1 {
@@ -182,6 +184,7 @@
 	delete(w.runs, runID{r.ref, r.number})
 	w.highest[r.ref] = max(w.highest[r.ref], r.number)
 	w.ends++
+	r.record.Ending = how
 	checkpoint := ""
 	if how == chestnutpond.RunStopped {
 		checkpoint = "saved-" + strconv.FormatInt(r.number, 10)
--- a/internal/test/stand/tasks.go
+++ b/internal/test/stand/tasks.go
@@ -46,6 +46,9 @@
 	// newest is the highest run of each task.
 	newest     map[chestnutpond.TaskRef]int64
 	violations []string
+	// runs has all runs in the order of their starts, byRun the newest of each number.
+	runs  []*TaskRun
+	byRun map[runID]*TaskRun
 }
 
 // NewTaskFleet returns a fleet without workers.
@@ -53,7 +56,7 @@
 	return &TaskFleet{
 		Model: model, live: map[chestnutpond.TaskRef][]*workerRun{},
 		done: map[chestnutpond.TaskRef]int64{}, starts: map[chestnutpond.TaskRef]int{}, newest: map[chestnutpond.TaskRef]int64{},
-		last: map[chestnutpond.TaskRef]time.Time{},
+		last: map[chestnutpond.TaskRef]time.Time{}, byRun: map[runID]*TaskRun{},
 	}
 }
 
@@ -102,12 +105,14 @@
 
 // over notes that a run has ended. The fleet's lock is held.
 func (f *TaskFleet) over(r *workerRun) {
+	r.record.End = time.Now()
 	f.live[r.ref] = slices.DeleteFunc(f.live[r.ref], func(o *workerRun) bool { return o == r })
 }
 
 // noted takes note of an end that was acknowledged before the worker's lease
 // lapsed. The fleet's lock is held.
 func (f *TaskFleet) noted(e chestnutpond.RunEnd) {
+	f.byRun[runID{e.Task, e.Run}].Noted = time.Now()
 	if e.Ending != chestnutpond.RunDone {
 		return
 	}
@@ -145,4 +150,6 @@
 	alone *time.Timer
 	// percent is the pace that the run was told.
 	percent int
+	// record is the run in the history.
+	record *TaskRun
 }
--- a/internal/test/stand/taskworker.go
+++ b/internal/test/stand/taskworker.go
@@ -60,6 +60,8 @@
 	gone bool
 	// clockLead is how far the time of day is ahead that the worker starts by.
 	clockLead time.Duration
+	// confirmed is when the agent first confirmed a report of the present life.
+	confirmed time.Time
 }
 
 type runID struct {
@@ -98,7 +100,7 @@
 	w.began, w.fence, w.until = now, 0, 0
 	w.runs, w.highest = map[runID]*workerRun{}, map[chestnutpond.TaskRef]int64{}
 	w.ended, w.ends, w.acked, w.lapsedUpTo, w.reports = nil, 0, 0, 0, 0
-	w.state = chestnutpond.WorkerReady
+	w.state, w.confirmed = chestnutpond.WorkerReady, time.Time{}
 	if w.changed != nil {
 		close(w.changed)
 	}
--- a/internal/test/world/world.go
+++ b/internal/test/world/world.go
@@ -210,11 +210,13 @@
 // Kill ends the process at once; others see their connections closed.
 func (e *Entry) Kill() {
 	e.mu.Lock()
-	defer e.mu.Unlock()
-	e.stop()
-	e.world.net.reset(e.Name)
-	<-e.done
 	e.node = nil
+	stop, done := e.stop, e.done
+	// A goroutine that waits for the lock would keep virtual time from passing.
+	e.mu.Unlock()
+	stop()
+	e.world.net.reset(e.Name)
+	<-done
 }
 
 // Node returns the process.
@@ -261,11 +263,12 @@
 // Kill ends the agent's process; the worker goes on.
 func (a *Agent) Kill() {
 	a.mu.Lock()
-	defer a.mu.Unlock()
-	a.stop()
-	a.world.net.reset(a.Name)
-	<-a.done
 	a.node = nil
+	stop, done := a.stop, a.done
+	a.mu.Unlock()
+	stop()
+	a.world.net.reset(a.Name)
+	<-done
 }
 
 // CutOff holds up everything between the agent and the entries.
@@ -294,7 +297,12 @@
 	if node == nil || quiet {
 		return false
 	}
-	return node.Reports().HandleReport(a.world.ctx, a.Worker.Info())
+	info := a.Worker.Info()
+	confirmed := node.Reports().HandleReport(a.world.ctx, info)
+	if confirmed {
+		a.Worker.ConfirmReport(info.Incarnation())
+	}
+	return confirmed
 }
 
 // ReportOf sends a report of another writer to the agent.
