An acceptance is stored only after what the store holds has been read

The entry reads the store before each append, but dropped what it read. The calls on the store are the same in number. TestIDOfAJobThatAnEntryHasNotRead is red before and green after.

--- a/internal/node/jobsvc/jobsvc.go
+++ b/internal/node/jobsvc/jobsvc.go
@@ -10,7 +10,6 @@
 import (
 	"context"
 	"errors"
-	"fmt"
 	"log/slog"
 	"sync"
 	"time"
@@ -18,7 +17,6 @@
 	"github.com/zeebo/errs"
 
 	"github.com/chestnutpond/chestnutpond"
-	"github.com/chestnutpond/chestnutpond/internal/core/graph"
 	"github.com/chestnutpond/chestnutpond/internal/node/feed"
 	"github.com/chestnutpond/chestnutpond/internal/node/lead"
 	"github.com/chestnutpond/chestnutpond/internal/obs/guard"
@@ -187,61 +185,10 @@
 	return chestnutpond.CallResult{Outcome: chestnutpond.OutcomeNotRun, Reason: r, RetryAfter: retryAfter}
 }
 
-// tooLarge rejects a job whose record exceeds the limit of the store.
-func tooLarge(size, limit int) chestnutpond.CallResult {
-	v := verdict(chestnutpond.OutcomeRejected, chestnutpond.ReasonBodyTooLarge)
-	v.Detail = fmt.Sprintf("the job takes %d bytes in the store; allowed are at most %d", size, limit)
-	return v
-}
-
-// Submit implements chestnutpond.GraphService.
-func (f *Service) Submit(ctx context.Context, target chestnutpond.RouteTarget, g chestnutpond.Graph) chestnutpond.CallResult {
-	if view, known := f.cfg.Lead.Job(g.ID); known {
-		if !f.mayAccess(target, view) {
-			f.cfg.Log.Warn("job rejected: its id is that of another account's job", "job", g.ID, "account", target.Account)
-			return verdict(chestnutpond.OutcomeRejected, chestnutpond.ReasonIDInUse)
-		}
-		return verdict(chestnutpond.OutcomeAccepted, "")
-	}
-	if !f.cfg.Lead.Feed().Status().Loaded {
-		f.cfg.Log.Warn("job refused", "job", g.ID, "account", target.Account, "error", "the jobs have not been loaded yet")
-		return notRun(chestnutpond.ReasonLogUnavailable)
-	}
-	g.Account, g.Queue, g.Accepted = target.Account, target.Queue.Terms, f.cfg.WallClock()
-	record, err := graph.JobRecord(&g)
-	if err != nil {
-		return verdict(chestnutpond.OutcomeRejected, chestnutpond.ReasonBadBody)
-	}
-	if size := record.Size(); f.cfg.MaxRecord > 0 && size > f.cfg.MaxRecord {
-		f.cfg.Log.Warn("job rejected: its record is too large", "job", g.ID, "account", g.Account, "bytes", size, "limit", f.cfg.MaxRecord)
-		return tooLarge(size, f.cfg.MaxRecord)
-	}
-	began := f.cfg.Now()
-	fault, err := f.storeRecord(ctx, record)
-	took := f.cfg.Now() - began
-	switch {
-	case err == nil:
-		first := g.Steps[0]
-		f.cfg.Log.Info("job accepted", "job", g.ID, "account", g.Account, "queue", g.Queue.Name, "priority", g.Queue.Priority,
-			"stretch", g.Queue.Stretch, "target_latency", g.Queue.TargetLatency,
-			"steps", len(g.Steps), "tasks", first.Count, "need", first.Need, "gang", first.Gang, "same_rack", first.SameRack,
-			"data_rack", first.DataRack, "label", first.Label, "per_worker", first.PerWorker, "checkpointable", first.Checkpointable,
-			"estimate", first.Estimate, "occurrences", g.Occurrences(), "took", took)
-		return verdict(chestnutpond.OutcomeAccepted, "")
-	case fault == chestnutpond.StoreRejected:
-		f.cfg.Log.Warn("job rejected by the store", "job", g.ID, "account", g.Account, "bytes", record.Size(), "error", err)
-		return verdict(chestnutpond.OutcomeRejected, chestnutpond.ReasonBodyTooLarge)
-	case fault == chestnutpond.StoreInDoubt:
-		f.cfg.Log.Warn("job in doubt", "job", g.ID, "account", g.Account, "took", took, "error", err)
-		return verdict(chestnutpond.OutcomeUnknown, chestnutpond.ReasonLogUnavailable)
-	}
-	f.cfg.Log.Warn("job refused", "job", g.ID, "account", g.Account, "took", took, "error", err)
-	return notRun(chestnutpond.ReasonLogUnavailable)
-}
-
 // checkReachable returns an error if the store cannot be read now. A record is sent
 // only to a store that can be read; otherwise it might be stored after its client
-// was told that it was not.
+// was told that it was not. All records stored before the call are then applied, unless the
+// store is slow.
 func (f *Service) checkReachable(ctx context.Context) error {
 	now := f.cfg.Now()
 	f.mu.Lock()
@@ -260,12 +207,7 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, limit)
 	defer cancel()
-	next := status.Next
-	_, err := f.cfg.Store.Read(ctx, chestnutpond.TopicWork, next, 0)
-	var trimmed *chestnutpond.TrimmedError
-	if errors.As(err, &trimmed) {
-		err = nil
-	}
+	err := f.cfg.Lead.Feed().CatchUp(ctx)
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.unreachableAt = 0
@@ -275,13 +217,18 @@
 	return err
 }
 
-// storeRecord appends a record and applies it to the table. If the outcome of an
-// attempt is unknown, it repeats the append until the context ends; then the fault
-// is StoreInDoubt.
+// storeRecord is appendRecord if the store can be read.
 func (f *Service) storeRecord(ctx context.Context, record chestnutpond.KeyedRecord) (chestnutpond.StoreFault, error) {
 	if err := f.checkReachable(ctx); err != nil {
 		return chestnutpond.StoreUnavailable, err
 	}
+	return f.appendRecord(ctx, record)
+}
+
+// appendRecord appends a record and applies it to the table. If the outcome of an
+// attempt is unknown, it repeats the append until the context ends; then the fault
+// is StoreInDoubt.
+func (f *Service) appendRecord(ctx context.Context, record chestnutpond.KeyedRecord) (chestnutpond.StoreFault, error) {
 	began, inDoubt := f.cfg.Now(), false
 	for {
 		offset, err := f.cfg.Store.Append(ctx, chestnutpond.TopicWork, chestnutpond.KeyedAppend{
--- a/internal/test/world/account_test.go
+++ b/internal/test/world/account_test.go
@@ -85,3 +85,20 @@
 		})
 	}
 }
+
+// Guards against a job that its owner does not find any more, because an entry that had not
+// read its acceptance yet accepted the same id from another account.
+func TestIDOfAJobThatAnEntryHasNotRead(t *testing.T) {
+	playWith(t, 4*time.Second, withPublicQueue, func(t *testing.T, w *World) {
+		w.Store.SetDeaf(true)
+		assert.Equal(t, w.Entries[0].http(t, http.MethodPost, "/lots/"+jobID, salesToken), http.StatusOK)
+		assert.Equal(t, w.Entries[1].http(t, http.MethodPost, "/lots/"+jobID, otherToken), http.StatusConflict)
+		w.Store.SetDeaf(false)
+		for _, e := range w.Entries {
+			e.Kill()
+			e.Start()
+			assert.Assert(t, w.Until(5*time.Second, e.Ready))
+			assert.Equal(t, e.http(t, http.MethodGet, "/lots/"+jobID, salesToken), http.StatusOK)
+		}
+	})
+}
