--- a/internal/core/plan/rank.go
+++ b/internal/core/plan/rank.go
@@ -2,21 +2,16 @@
 
 import (
 	"cmp"
-	"math"
 	"slices"
 	"time"
 
 	"github.com/chestnutpond/chestnutpond"
+	"github.com/chestnutpond/chestnutpond/internal/core/fcast"
 )
 
-const (
-	// waveShare is the share of a service's capacity beyond which a step is
-	// expected to run in waves; its objective allows for them.
-	waveShare = 0.25
-	// lateFactor is the multiple of its objective after which a job has no value
-	// left for its caller.
-	lateFactor = 3
-)
+// lateFactor is the multiple of its objective after which a job has no value
+// left for its caller.
+const lateFactor = fcast.LateFactor
 
 // timeliness classifies a unit by the objective of its job. Units are placed in the
 // order of these values.
@@ -151,18 +146,7 @@
 
 // waves returns the number of waves in which a step is expected to run.
 func (p *Planner) waves(s *step) int {
-	capacity := p.serviceCapacity(s.occurrence.job.graph.Queue.Service)
-	need := s.def.Reserved()
-	share := 0.0
-	raiseShare := func(need, capacity int64) {
-		if capacity > 0 {
-			share = max(share, float64(need)*float64(s.def.Count)/float64(capacity))
-		}
-	}
-	raiseShare(int64(need.CPU), int64(capacity.CPU))
-	raiseShare(int64(need.Memory), int64(capacity.Memory))
-	raiseShare(need.Accelerators, capacity.Accelerators)
-	return max(1, int(math.Ceil(share/waveShare)))
+	return fcast.Waves(s.def, p.serviceCapacity(s.occurrence.job.graph.Queue.Service))
 }
 
 // serviceCapacity returns the total capacity of the usable workers of a service.
