The leader sends forecasts and measures their error

Cause: entries need the forecast, and its quality has to be visible. Change: with lead.Config.Forecasts the leader computes a forecast before each leader record and sends it with that. An entry keeps the newest one and its age. The predicted and actual starts of jobs give the forecast's error. Off by default; nothing turns it on yet.

--- a/internal/node/lead/claim.go
+++ b/internal/node/lead/claim.go
@@ -306,6 +306,7 @@
 	m.term = &term{
 		epoch: epoch, nonce: nonce, planner: planner, sequence: sequence, confirmedAt: now,
 		formerGrantsEnd: now + grants, earlierGrantsEnd: now + earlierGrants, lastHeartbeat: now, appendToken: make(chan struct{}, 1),
+		forecast: newForecast(),
 	}
 	m.term.returnAppendToken()
 	m.suspicion = suspicion{}
--- a/internal/node/lead/lead.go
+++ b/internal/node/lead/lead.go
@@ -72,6 +72,8 @@
 	Adviser chestnutpond.Adviser
 	// Guard contains panics.
 	Guard *guard.Guard
+	// Forecasts makes the leader compute forecasts, and the entry use them.
+	Forecasts bool
 }
 
 // Manager follows the work topic, and leads while this entry has the newest claim.
@@ -104,6 +106,8 @@
 	// watches has a channel for each job that a caller waits for. The channel is
 	// closed when a record of the job is applied.
 	watches map[chestnutpond.JobID]chan struct{}
+	// received is the newest forecast of the leader.
+	received received
 }
 
 // New returns a manager that has not read any records.
@@ -134,6 +138,9 @@
 			m.cfg.Log.Error("skipping invalid record", "offset", r.Offset, "error", err)
 			continue
 		}
+		if l := m.table.Leader(); l.Offset == r.Offset {
+			m.receiveForecast(l)
+		}
 		if l := m.table.Leader(); l.GetEpoch() != before {
 			m.cfg.Log.Info("leader changed", "epoch", l.GetEpoch(), "leader", l.GetEntry().GetName(), "offset", r.Offset)
 			m.leaderChanged()
@@ -179,6 +186,7 @@
 	}
 	if j.State == nil {
 		m.term.planner.Load(j)
+		m.term.forecast.predict(j.Graph)
 	}
 	if j.Cancelled {
 		m.term.planner.Cancel(m.cfg.Now(), j.ID)
--- a/internal/node/lead/metrics.go
+++ b/internal/node/lead/metrics.go
@@ -14,7 +14,9 @@
 	registry *stats.Registry
 	// decide measures a scheduling round, append the storing of its records.
 	decide, append *stats.Seconds
-	leads, agents  metrics.Gauge
+	// forecast measures the computation of a forecast.
+	forecast      *stats.Seconds
+	leads, agents metrics.Gauge
 	// rejected counts the records that the store rejected.
 	rejected metrics.Counter
 	// queues has the gauges of waiting jobs that have been set.
@@ -36,6 +38,7 @@
 		registry: r,
 		decide:   r.Seconds("lead_decide_seconds", "Time of one round of decisions."),
 		append:   r.Seconds("lead_append_seconds", "Time until the records of a round were stored."),
+		forecast: r.Seconds("lead_forecast_seconds", "Time to compute a forecast."),
 		leads:    r.Gauge("lead_leads", "1 while this entry leads."),
 		agents:   r.Gauge("lead_agents", "Agents that report to this entry."),
 		rejected: r.Counter("lead_rejected_records_total", "Records that the store rejected."),
--- a/internal/node/lead/term.go
+++ b/internal/node/lead/term.go
@@ -37,6 +37,9 @@
 	// lastHeartbeat is when the leader record was last appended.
 	lastHeartbeat time.Duration
 
+	// forecast is guarded by the manager's lock, except for its forecaster.
+	forecast forecast
+
 	// cancelsCheckedAt is when expired cancellations were last looked for. It is guarded by
 	// the manager's lock.
 	cancelsCheckedAt time.Duration
@@ -160,6 +163,7 @@
 	}
 	took := m.since(now)
 	m.meters.decide.Observe(took)
+	m.updateForecast(t, now, wall)
 	m.signalAdvice()
 	m.logNotes(t.epoch, notes)
 	if err != nil {
@@ -194,6 +198,7 @@
 	batch, err := t.planner.TakeBatch(wall)
 	batch = batch.WithRecords(m.expiredCancels(t, now, wall))
 	notes := t.planner.Notes()
+	m.measureForecast(t, notes)
 	m.meters.setCounts(t.planner.Counts(now))
 	m.meters.agents.Update(int64(m.reportingAgents()))
 	m.wakeChangedStreams()
@@ -255,7 +260,7 @@
 	if now-t.lastHeartbeat >= heartbeatInterval {
 		heartbeat, err := graph.LeaderRecord(&inner.LeaderRecord{
 			Epoch: t.epoch, Entry: m.cfg.Self, Boot: m.cfg.Boot, Nonce: t.nonce, Agents: m.countReportingAgents(),
-			FormerMs: m.formerGrantsLeft(t).Milliseconds(),
+			FormerMs: m.formerGrantsLeft(t).Milliseconds(), Forecast: m.forecastMessage(t),
 		})
 		if err != nil {
 			return nil, err
