Entries reject jobs that could not end in time, and follow outages

Cause: a caller whose job cannot be served learned it when its deadline passed, and callers were sent back into an outage after 1 s each, all at once. Change: with EntryConfig.Admission an entry judges a job by the leader's forecast before it stores it, and answers no_capacity with a Retry-After that is spread by the job's id. It does not reject guaranteed, scheduled, perpetual and known jobs, jobs that return as they were told, anything by a forecast of 2 s or more, and anything that may still reach the store. Off by default. Not switched: while the store is away Retry-After follows the length of the outage, 1 to 3 s, spread by the job's id; 1 s if no outage is known.

--- a/internal/node/fleet/entry.go
+++ b/internal/node/fleet/entry.go
@@ -42,6 +42,9 @@
 	RestoreTime    time.Duration
 	// Adviser is nil if no queue needs advice.
 	Adviser chestnutpond.Adviser
+	// Admission makes the leader compute forecasts of when work starts, and the entry reject
+	// jobs that could not end in time. It has to be the same on all entries.
+	Admission bool
 }
 
 // Entry is the process on an entry host. It handles client calls and takes part in
@@ -66,11 +69,12 @@
 		Self: e.row, Boot: e.boot, Store: e.store, Mesh: e.mesh, Roster: e.roster, Direct: e.store.DirectAvailable,
 		Now: c.Now, WallClock: c.Wall, Log: c.Logs.Logger("lead"),
 		Lease: c.Lease, Retention: c.Retention, RemoteSlowdown: c.RemoteSlowdown, RestoreTime: c.RestoreTime, Metrics: e.base.Metrics,
-		Adviser: c.Adviser, Guard: e.guard,
+		Adviser: c.Adviser, Guard: e.guard, Forecasts: c.Admission,
 	})
 	e.front = jobsvc.New(jobsvc.Config{
 		Store: e.store, StoreLatency: e.store.Health, Lead: e.manager, ParseDocument: c.ParseDocument, Now: c.Now, WallClock: c.Wall,
 		Log: c.Logs.Logger("front"), Metrics: e.base.Metrics, Guard: e.guard, MaxRecord: c.MaxRecord,
+		Admission: c.Admission,
 	})
 	e.addAgeGauge(chestnutpond.TopicWork, e.manager.Feed())
 	e.addAgeGauge(chestnutpond.TopicDesired, e.front.Feed())
--- a/internal/node/jobsvc/cancel.go
+++ b/internal/node/jobsvc/cancel.go
@@ -62,5 +62,5 @@
 		return verdict(chestnutpond.OutcomeUnknown, chestnutpond.ReasonLogUnavailable)
 	}
 	f.cfg.Log.Warn("cancellation refused", "job", id, "error", err)
-	return notRun(chestnutpond.ReasonLogUnavailable)
+	return f.storeAway(id)
 }
--- a/internal/node/jobsvc/jobsvc.go
+++ b/internal/node/jobsvc/jobsvc.go
@@ -10,7 +10,6 @@
 import (
 	"context"
 	"errors"
-	"fmt"
 	"log/slog"
 	"sync"
 	"time"
@@ -18,7 +17,6 @@
 	"github.com/zeebo/errs"
 
 	"github.com/chestnutpond/chestnutpond"
-	"github.com/chestnutpond/chestnutpond/internal/core/graph"
 	"github.com/chestnutpond/chestnutpond/internal/node/feed"
 	"github.com/chestnutpond/chestnutpond/internal/node/lead"
 	"github.com/chestnutpond/chestnutpond/internal/obs/guard"
@@ -29,9 +27,6 @@
 var Error = errs.Class("front")
 
 const (
-	// retryAfter is the retry delay returned to a client whose call was not run
-	// because the store is unavailable. Most outages last a few seconds.
-	retryAfter = time.Second
 	// appendRetryDelay is the delay between two attempts to store a record.
 	appendRetryDelay = 30 * time.Millisecond
 	// slowStoreLatency is the latency above which the store counts as slow. A read
@@ -77,6 +72,8 @@
 	Guard *guard.Guard
 	// MaxRecord bounds a record of the store in bytes; zero means no bound.
 	MaxRecord int
+	// Admission makes Submit reject jobs that could not end in time.
+	Admission bool
 }
 
 // Service implements chestnutpond.GraphService for an entry. It is safe for concurrent use.
@@ -85,6 +82,8 @@
 	feed *feed.Feed
 	// storeSeconds measures the time that it takes to store the record of a call.
 	storeSeconds *stats.Seconds
+	// admission is nil unless Config.Admission is set.
+	admission *admission
 
 	// mu guards the fields below; no other lock is taken while it is held.
 	mu       sync.Mutex
@@ -108,6 +107,10 @@
 	f.feed = feed.New(feed.Config{
 		Store: c.Store, Topic: chestnutpond.TopicDesired, Receiver: f, Now: c.Now, Log: c.Log, Guard: c.Guard,
 	})
+	if c.Admission {
+		f.admission = newAdmission()
+		c.Metrics.GaugeFunc("front_forecast_age_milliseconds", "Age of the newest forecast; -1 if there is none.", f.forecastAge)
+	}
 	return f
 }
 
@@ -183,62 +186,6 @@
 	return chestnutpond.CallResult{Outcome: o, Reason: r}
 }
 
-func notRun(r chestnutpond.Reason) chestnutpond.CallResult {
-	return chestnutpond.CallResult{Outcome: chestnutpond.OutcomeNotRun, Reason: r, RetryAfter: retryAfter}
-}
-
-// tooLarge rejects a job whose record exceeds the limit of the store.
-func tooLarge(size, limit int) chestnutpond.CallResult {
-	v := verdict(chestnutpond.OutcomeRejected, chestnutpond.ReasonBodyTooLarge)
-	v.Detail = fmt.Sprintf("the job takes %d bytes in the store; allowed are at most %d", size, limit)
-	return v
-}
-
-// Submit implements chestnutpond.GraphService.
-func (f *Service) Submit(ctx context.Context, target chestnutpond.RouteTarget, g chestnutpond.Graph) chestnutpond.CallResult {
-	if view, known := f.cfg.Lead.Job(g.ID); known {
-		if !f.mayAccess(target, view) {
-			f.cfg.Log.Warn("job rejected: its id is that of another account's job", "job", g.ID, "account", target.Account)
-			return verdict(chestnutpond.OutcomeRejected, chestnutpond.ReasonIDInUse)
-		}
-		return verdict(chestnutpond.OutcomeAccepted, "")
-	}
-	if !f.cfg.Lead.Feed().Status().Loaded {
-		f.cfg.Log.Warn("job refused", "job", g.ID, "account", target.Account, "error", "the jobs have not been loaded yet")
-		return notRun(chestnutpond.ReasonLogUnavailable)
-	}
-	g.Account, g.Queue, g.Accepted = target.Account, target.Queue.Terms, f.cfg.WallClock()
-	record, err := graph.JobRecord(&g)
-	if err != nil {
-		return verdict(chestnutpond.OutcomeRejected, chestnutpond.ReasonBadBody)
-	}
-	if size := record.Size(); f.cfg.MaxRecord > 0 && size > f.cfg.MaxRecord {
-		f.cfg.Log.Warn("job rejected: its record is too large", "job", g.ID, "account", g.Account, "bytes", size, "limit", f.cfg.MaxRecord)
-		return tooLarge(size, f.cfg.MaxRecord)
-	}
-	began := f.cfg.Now()
-	fault, err := f.storeRecord(ctx, record)
-	took := f.cfg.Now() - began
-	switch {
-	case err == nil:
-		first := g.Steps[0]
-		f.cfg.Log.Info("job accepted", "job", g.ID, "account", g.Account, "queue", g.Queue.Name, "priority", g.Queue.Priority,
-			"stretch", g.Queue.Stretch, "target_latency", g.Queue.TargetLatency,
-			"steps", len(g.Steps), "tasks", first.Count, "need", first.Need, "gang", first.Gang, "same_rack", first.SameRack,
-			"data_rack", first.DataRack, "label", first.Label, "per_worker", first.PerWorker, "checkpointable", first.Checkpointable,
-			"estimate", first.Estimate, "occurrences", g.Occurrences(), "took", took)
-		return verdict(chestnutpond.OutcomeAccepted, "")
-	case fault == chestnutpond.StoreRejected:
-		f.cfg.Log.Warn("job rejected by the store", "job", g.ID, "account", g.Account, "bytes", record.Size(), "error", err)
-		return verdict(chestnutpond.OutcomeRejected, chestnutpond.ReasonBodyTooLarge)
-	case fault == chestnutpond.StoreInDoubt:
-		f.cfg.Log.Warn("job in doubt", "job", g.ID, "account", g.Account, "took", took, "error", err)
-		return verdict(chestnutpond.OutcomeUnknown, chestnutpond.ReasonLogUnavailable)
-	}
-	f.cfg.Log.Warn("job refused", "job", g.ID, "account", g.Account, "took", took, "error", err)
-	return notRun(chestnutpond.ReasonLogUnavailable)
-}
-
 // checkReachable returns an error if the store cannot be read now. A record is sent
 // only to a store that can be read; otherwise it might be stored after its client
 // was told that it was not.
@@ -318,7 +265,7 @@
 		defer cancel()
 		if err := f.cfg.Lead.Feed().CatchUp(ctx); err != nil {
 			f.cfg.Log.Warn("job not known, and the store cannot be read", "job", id, "error", err)
-			return lead.JobView{}, notRun(chestnutpond.ReasonLogUnavailable)
+			return lead.JobView{}, f.storeAway(id)
 		}
 		view, known = f.cfg.Lead.Job(id)
 	}
--- a/internal/test/world/world.go
+++ b/internal/test/world/world.go
@@ -53,6 +53,8 @@
 	Out io.Writer
 	// MaxRecord bounds a record of the store in bytes; zero means that of the platform.
 	MaxRecord int
+	// Admission makes entries reject jobs that could not end in time.
+	Admission bool
 	// Wall is the entries' time of day; nil means that of the machine.
 	Wall func() time.Time
 }
@@ -188,6 +190,7 @@
 	node := fleet.NewEntry(fleet.EntryConfig{
 		Base: w.base(e.Name, e.Way, w.net.listen(e.Name)), ParseDocument: w.parse, Wall: w.cfg.Wall,
 		MaxRecord: w.cfg.MaxRecord, Retention: 2 * time.Minute, RemoteSlowdown: 3, RestoreTime: 100 * time.Millisecond, Adviser: w.cfg.Adviser,
+		Admission: w.cfg.Admission,
 	})
 	done := make(chan struct{})
 	e.node, e.stop, e.done = node, stop, done
--- a/outcome.go
+++ b/outcome.go
@@ -53,6 +53,8 @@
 	ReasonJobLimit    Reason = "job_limit"
 	ReasonIntentLimit Reason = "intent_limit"
 	ReasonBase        Reason = "base_version"
+	// ReasonNoCapacity means that the job could not end in time.
+	ReasonNoCapacity Reason = "no_capacity"
 	// ReasonNoRoute means that the HTTP interface has no such path or method.
 	ReasonNoRoute Reason = "no_route"
 )
