--- a/internal/node/fleet/entry.go
+++ b/internal/node/fleet/entry.go
@@ -51,6 +51,9 @@
 	Policy plan.Policy
 	// Adviser is nil if no queue needs advice.
 	Adviser chestnutpond.Adviser
+	// Admission makes the leader compute forecasts of when work starts, and the entry reject
+	// jobs that could not end in time. It has to be the same on all entries.
+	Admission bool
 }
 
 // Entry is the process on an entry host. It handles client calls and takes part in
@@ -78,10 +81,12 @@
 		Adviser: c.Adviser, Guard: e.guard, EvacuationDelay: c.EvacuationDelay,
 		OperatorsFresh: func() time.Duration { return e.front.Feed().Status().Fresh },
 		Policy:         c.Policy, MaxRecord: c.MaxRecord,
+		Forecasts: c.Admission,
 	})
 	e.front = jobsvc.New(jobsvc.Config{
 		Store: e.store, StoreLatency: e.store.Health, Lead: e.manager, ParseDocument: c.ParseDocument, ParseEvacuation: c.ParseEvacuation, Now: c.Now, WallClock: c.Wall,
 		Log: c.Logs.Logger("front"), Metrics: e.base.Metrics, Guard: e.guard, MaxRecord: c.MaxRecord,
+		Admission: c.Admission,
 	})
 	e.addAgeGauge(chestnutpond.TopicWork, e.manager.Feed())
 	e.addAgeGauge(chestnutpond.TopicDesired, e.front.Feed())
--- a/internal/node/jobsvc/jobsvc.go
+++ b/internal/node/jobsvc/jobsvc.go
@@ -27,9 +27,6 @@
 var Error = errs.Class("front")
 
 const (
-	// retryAfter is the retry delay returned to a client whose call was not run
-	// because the store is unavailable. Most outages last a few seconds.
-	retryAfter = time.Second
 	// appendRetryDelay is the delay between two attempts to store a record.
 	appendRetryDelay = 30 * time.Millisecond
 	// slowStoreLatency is the latency above which the store counts as slow. A read
@@ -78,6 +75,8 @@
 	Guard *guard.Guard
 	// MaxRecord bounds a record of the store in bytes; zero means no bound.
 	MaxRecord int
+	// Admission makes Submit reject jobs that could not end in time.
+	Admission bool
 }
 
 // Service implements chestnutpond.GraphService for an entry. It is safe for concurrent use.
@@ -86,6 +85,8 @@
 	feed *feed.Feed
 	// storeSeconds measures the time that it takes to store the record of a call.
 	storeSeconds *stats.Seconds
+	// admission is nil unless Config.Admission is set.
+	admission *admission
 
 	// mu guards the fields below. Only the lock of the lead.Manager is taken while it is held.
 	mu       sync.Mutex
@@ -111,6 +112,10 @@
 	f.feed = feed.New(feed.Config{
 		Store: c.Store, Topic: chestnutpond.TopicDesired, Receiver: f, Now: c.Now, Log: c.Log, Guard: c.Guard,
 	})
+	if c.Admission {
+		f.admission = newAdmission()
+		c.Metrics.GaugeFunc("front_forecast_age_milliseconds", "Age of the newest forecast; -1 if there is none.", f.forecastAge)
+	}
 	return f
 }
 
@@ -190,10 +195,6 @@
 	return chestnutpond.CallResult{Outcome: o, Reason: r}
 }
 
-func notRun(r chestnutpond.Reason) chestnutpond.CallResult {
-	return chestnutpond.CallResult{Outcome: chestnutpond.OutcomeNotRun, Reason: r, RetryAfter: retryAfter}
-}
-
 // checkReachable returns an error if the store cannot be read now. A record is sent
 // only to a store that can be read; otherwise it might be stored after its client
 // was told that it was not. All records stored before the call are then applied, unless the
@@ -274,7 +275,7 @@
 		defer cancel()
 		if err := f.cfg.Lead.Feed().CatchUp(ctx); err != nil {
 			f.cfg.Log.Warn("job not known, and the store cannot be read", "job", id, "error", err)
-			return lead.JobView{}, notRun(chestnutpond.ReasonLogUnavailable)
+			return lead.JobView{}, f.storeAway(id)
 		}
 		view, known = f.cfg.Lead.Job(id)
 	}
--- a/internal/node/jobsvc/submit.go
+++ b/internal/node/jobsvc/submit.go
@@ -22,7 +22,7 @@
 	}
 	if !f.cfg.Lead.Feed().Status().Loaded {
 		f.cfg.Log.Warn("job refused", "job", g.ID, "account", target.Account, "error", "the jobs have not been loaded yet")
-		return notRun(chestnutpond.ReasonLogUnavailable)
+		return f.storeAway(g.ID)
 	}
 	g.Account, g.Queue, g.Accepted = target.Account, target.Queue.Terms, f.cfg.WallClock()
 	record, err := graph.JobRecord(&g)
@@ -33,6 +33,16 @@
 		f.cfg.Log.Warn("job rejected: its record is too large", "job", g.ID, "account", g.Account, "bytes", size, "limit", f.cfg.MaxRecord)
 		return tooLarge(size, f.cfg.MaxRecord)
 	}
+	if v, admitted := f.admit(ctx, target, &g); !admitted {
+		return v
+	}
+	return f.storeJob(ctx, target, &g, record)
+}
+
+// storeJob stores the record of a new job.
+func (f *Service) storeJob(
+	ctx context.Context, target chestnutpond.RouteTarget, g *chestnutpond.Graph, record chestnutpond.KeyedRecord,
+) chestnutpond.CallResult {
 	began := f.cfg.Now()
 	fault, err := chestnutpond.StoreUnavailable, f.checkReachable(ctx)
 	if err == nil {
@@ -40,7 +50,9 @@
 		if v, known := f.repeated(target, g.ID); known {
 			return v
 		}
+		f.admission.begin(g.ID)
 		fault, err = f.appendRecord(ctx, record)
+		f.admission.end(f.cfg.Now(), g.ID, fault == chestnutpond.StoreInDoubt)
 	}
 	took := f.cfg.Now() - began
 	switch {
@@ -59,8 +71,10 @@
 		f.cfg.Log.Warn("job in doubt", "job", g.ID, "account", g.Account, "took", took, "error", err)
 		return verdict(chestnutpond.OutcomeUnknown, chestnutpond.ReasonLogUnavailable)
 	}
-	f.cfg.Log.Warn("job refused", "job", g.ID, "account", g.Account, "took", took, "error", err)
-	return notRun(chestnutpond.ReasonLogUnavailable)
+	v := f.storeAway(g.ID)
+	f.countAdmission("front_rejections_total", rejectionsHelp, g, "store")
+	f.cfg.Log.Warn("job refused", "job", g.ID, "account", g.Account, "took", took, "retry_after", v.RetryAfter, "error", err)
+	return v
 }
 
 // repeated returns the answer to the submission of a job that is known already.
--- a/internal/node/lead/metrics.go
+++ b/internal/node/lead/metrics.go
@@ -15,7 +15,9 @@
 	registry *stats.Registry
 	// decide measures a scheduling round, append the storing of its records.
 	decide, append *stats.Seconds
-	leads, agents  metrics.Gauge
+	// forecast measures the computation of a forecast.
+	forecast      *stats.Seconds
+	leads, agents metrics.Gauge
 	// rejected counts the records that the store rejected.
 	rejected metrics.Counter
 	// learnedGroups and learnedBytes are the size of what has been learned and of its
@@ -56,6 +58,7 @@
 		learnedInvalid: r.Counter("lead_learned_invalid_total", "Records of learned durations that a new term could not use."),
 		predictions:    map[string]*predictionErrors{},
 		rejected:       r.Counter("lead_rejected_records_total", "Records that the store rejected."),
+		forecast:       r.Seconds("lead_forecast_seconds", "Time to compute a forecast."),
 	}
 }
 
--- a/internal/test/world/world.go
+++ b/internal/test/world/world.go
@@ -62,6 +62,8 @@
 	MaxRecord int
 	// Policy switches parts of the leaders' planners.
 	Policy plan.Policy
+	// Admission makes entries reject jobs that could not end in time.
+	Admission bool
 	// Wall is the entries' time of day; nil means that of the machine.
 	Wall func() time.Time
 }
@@ -218,7 +220,8 @@
 		ParseEvacuation: func(key string) (string, bool) { return strings.CutPrefix(key, evacuationPrefix) },
 		EvacuationDelay: w.cfg.EvacuationDelay,
 		MaxRecord:       w.cfg.MaxRecord, Retention: 2 * time.Minute, RemoteSlowdown: 3, RestoreTime: 100 * time.Millisecond, Adviser: w.cfg.Adviser,
-		Policy: w.cfg.Policy,
+		Policy:    w.cfg.Policy,
+		Admission: w.cfg.Admission,
 	})
 	done := make(chan struct{})
 	e.node, e.stop, e.done = node, stop, done
--- a/internal/tool/launch/fleet.go
+++ b/internal/tool/launch/fleet.go
@@ -60,7 +60,7 @@
 			Name: "fleet-entry", Usage: "run the process on an entry host of the platform",
 			Flags: append([]cli.Flag{settings}, policyFlags()...),
 			Action: func(ctx context.Context, c *cli.Command) error {
-				return runFleetEntry(ctx, c.String("settings"), policyOf(c))
+				return runFleetEntry(ctx, c.String("settings"), policyOf(c), c.Bool(flagAdmission))
 			},
 		},
 		{
@@ -186,7 +186,7 @@
 	})
 }
 
-func runFleetEntry(ctx context.Context, path string, policy plan.Policy) error {
+func runFleetEntry(ctx context.Context, path string, policy plan.Policy, admission bool) error {
 	p, err := newOnPlatform(path)
 	if err != nil {
 		return err
@@ -197,7 +197,7 @@
 		Base: p.base, ParseDocument: platform.ParseDesired, Wall: time.Now,
 		ParseEvacuation: platform.ParseEvacuation, EvacuationDelay: s.EvacuationDelay,
 		MaxRecord: s.MaxRecord, Retention: s.Retention, RemoteSlowdown: s.RemoteSlowdown, RestoreTime: s.RestoreTime,
-		Policy: policy,
+		Policy: policy, Admission: admission,
 	}
 	if s.Advice != "" {
 		c.Adviser = platform.NewAdviser(s.Advice)
--- a/internal/tool/launch/policy.go
+++ b/internal/tool/launch/policy.go
@@ -6,18 +6,20 @@
 	"github.com/chestnutpond/chestnutpond/internal/core/plan"
 )
 
-// The flags that switch parts of the planner on. All entries of a deployment have the same.
+// The flags that switch parts of the scheduling on. All entries of a deployment have the same.
 const (
 	flagLearnDurations = "learn-durations"
 	flagPreemptEarly   = "preempt-early"
+	flagAdmission      = "admission"
 )
 
-// policyFlags returns the flags of a planner's policy. A deployment that sets none is
+// policyFlags returns these flags. A deployment that sets none is
 // scheduled as before these parts existed.
 func policyFlags() []cli.Flag {
 	return []cli.Flag{
 		&cli.BoolFlag{Name: flagLearnDurations, Usage: "predict the durations of tasks from ended runs"},
 		&cli.BoolFlag{Name: flagPreemptEarly, Usage: "let urgent work preempt at once where that costs little"},
+		&cli.BoolFlag{Name: flagAdmission, Usage: "reject jobs at once that could not end in time by the forecast"},
 	}
 }
 
--- a/outcome.go
+++ b/outcome.go
@@ -60,6 +60,8 @@
 	ReasonBase        Reason = "base_version"
 	ReasonUnknownZone Reason = "unknown_zone"
 	ReasonZoneLimit   Reason = "zone_limit"
+	// ReasonNoCapacity means that the job could not end in time.
+	ReasonNoCapacity Reason = "no_capacity"
 	// ReasonNoRoute means that the HTTP interface has no such path or method.
 	ReasonNoRoute Reason = "no_route"
 )
