The policy table plays the loads of deployments A and B

The rows of the table had equal tasks, one account and no faults, so they could not show what preemption and packing cost the callers of the two new deployments.

Adds rows for deployments A and B, A at one and a half times its load with bursts of bulk and urgent work, A with a tenth of the workers failing or slow for 8 s, and A with one account that floods its urgent queue. Tasks have checkpoints, restore times, data racks, gangs on one rack, second steps and different work within a job. The result has the jobs in time, late and expired by kind, the worst tenth of the accounts, the largest tenth of a kind, and the core-seconds discarded, also for each core-second of urgent work gained.

--- a/internal/test/graphs/graphs_test.go
+++ b/internal/test/graphs/graphs_test.go
@@ -23,12 +23,14 @@
 			t.Parallel()
 			value, bound, thrown, jobs := 0.0, 0.0, 0.0, 0
 			late := map[string]int{}
+			outcomes := newOutcomes()
 			seeds := Seeds[:*seedsRun]
 			for _, seed := range seeds {
 				got := Run(r, seed)
 				assert.Equal(t, got.Unfinished, 0, "seed %d", seed)
 				assert.Assert(t, got.Value <= got.Bound+1e-9, "seed %d: %v of %v", seed, got.Value, got.Bound)
 				value, bound, thrown, jobs = value+got.Value, bound+got.Bound, thrown+got.Thrown, jobs+got.Jobs
+				outcomes = outcomes.plus(got.Outcomes)
 				for kind, n := range got.Late {
 					late[kind] += n
 				}
@@ -36,6 +38,11 @@
 			n := float64(len(seeds))
 			t.Logf("%s: %.3f of the value in time, bound %.3f, %.3f of the work thrown away; of %d jobs late: %v",
 				r.Name, value/n, bound/n, thrown/n, jobs, late)
+			t.Logf("%s: %s", r.Name, outcomes.row(n))
+			if r.worthLeast > 0 {
+				assert.Assert(t, outcomes.Worth >= r.worthLeast*n, "%.3f", outcomes.Worth/n)
+				return
+			}
 			assert.Assert(t, value >= inTimeLeast*bound, "%.3f of %.3f", value/n, bound/n)
 		})
 	}
--- a/internal/test/graphs/load.go
+++ b/internal/test/graphs/load.go
@@ -15,6 +15,7 @@
 	"time"
 
 	"github.com/chestnutpond/chestnutpond"
+	"github.com/chestnutpond/chestnutpond/internal/core/plan"
 )
 
 // Seeds are the seeds of the table.
@@ -23,6 +24,8 @@
 const (
 	service = "service"
 	account = "account"
+	// rackSize is the number of workers of a rack where a row gives none.
+	rackSize = 3
 	// arrivals is how long jobs arrive.
 	arrivals = 40 * time.Second
 	// waveShare is the share of the service beyond which the objective of a step
@@ -49,6 +52,20 @@
 	shapes  []int64
 	stretch float64
 	target  time.Duration
+	detail
+}
+
+// detail has what only the kinds of deployments A and B have. No random number is drawn
+// for a zero value.
+type detail struct {
+	// lateValue is the value of a job that is done within lateFactor times its objective.
+	lateValue float64
+	// within is the deviation of the logarithm of the tasks' work within a job.
+	within float64
+	// secondStep, dataRack and sameRack are the shares of jobs with a second step, with
+	// data on one rack, and with gangs that are slow unless they run on one rack.
+	secondStep, dataRack, sameRack float64
+	checkpointable                 bool
 }
 
 // Row is a load.
@@ -57,8 +74,47 @@
 	workers int
 	room    chestnutpond.Resources
 	kinds   []kind
-	// burst times the arrivals of the most urgent kind between the seconds 8 and 16.
-	burst float64
+	bursts  []burst
+	// rack is the number of workers of a rack, zero for rackSize, and zones the number
+	// of zones.
+	rack, zones int
+	accounts    []accountLoad
+	faults      []fault
+	// stop, checkpoint and restore are how long a run takes to stop, after how much work
+	// it writes a checkpoint, and how long it takes to start from one.
+	stop, checkpoint, restore time.Duration
+	// worthLeast is the least share of the jobs' value that callers get, zero where
+	// inTimeLeast applies instead.
+	worthLeast float64
+	// Policies has the policies of the planner; its other fields are not used.
+	Policies plan.Config
+}
+
+// burst is more work of a kind for some time.
+type burst struct {
+	kind     string
+	from, to time.Duration
+	// factor multiplies the arrivals.
+	factor float64
+	// account is the one whose jobs the additional ones are; empty for all.
+	account string
+}
+
+// accountLoad is a client account.
+type accountLoad struct {
+	name string
+	// weight is its part of the jobs relative to the others.
+	weight int
+	// guarantee is the number of accelerators guaranteed to its urgent jobs.
+	guarantee int64
+}
+
+// fault is a fault of a worker for some time.
+type fault struct {
+	worker   int
+	from, to time.Duration
+	// rate is the speed of its runs; with zero they fail.
+	rate float64
 }
 
 // job is a job with what the planner cannot know.
@@ -67,6 +123,13 @@
 	arrives time.Duration
 	work    time.Duration
 	value   float64
+	// tasks has the work of each task by step, nil if it is that of the job.
+	tasks     [][]time.Duration
+	lateValue float64
+	kind      string
+	ended     verdict
+	// preempted means that runs were stopped to make room for the job.
+	preempted bool
 	// share is the part of the service that its tasks take together, by its scarcest
 	// resource.
 	share float64
@@ -107,14 +170,14 @@
 }
 
 // Rows returns the loads: the two deployments of today, one of them in a burst of
-// urgent jobs, and a deployment of 53 workers.
+// urgent jobs, a deployment of 53 workers, and deployments A and B.
 func Rows() []Row {
-	return []Row{
-		{Name: "small_hosts", workers: 11, room: room64, kinds: kinds(1.8, 1, 1), burst: 1},
-		{Name: "large_hosts", workers: 11, room: room128, kinds: kinds(1.8, 2, 1), burst: 1},
-		{Name: "urgent_burst", workers: 11, room: room64, kinds: kinds(1.3, 1, 1), burst: 4},
-		{Name: "large_fleet", workers: 53, room: room128, kinds: kinds(5.5, 2, 1.8), burst: 1},
-	}
+	return append([]Row{
+		{Name: "small_hosts", workers: 11, room: room64, kinds: kinds(1.8, 1, 1)},
+		{Name: "large_hosts", workers: 11, room: room128, kinds: kinds(1.8, 2, 1)},
+		{Name: "urgent_burst", workers: 11, room: room64, kinds: kinds(1.3, 1, 1), bursts: []burst{{kind: "urgent", from: 8 * time.Second, to: 16 * time.Second, factor: 4}}},
+		{Name: "large_fleet", workers: 53, room: room128, kinds: kinds(5.5, 2, 1.8)},
+	}, deployments()...)
 }
 
 // jobs draws the jobs of a row, in order of arrival.
@@ -125,18 +188,29 @@
 		k := &r.kinds[i]
 		for at := time.Duration(0); ; {
 			gap := random.ExpFloat64() * k.every.Seconds()
-			if k.priority == 0 && at > 8*time.Second && at < 16*time.Second {
-				gap /= r.burst
-			}
+			b := r.burstOf(k, at)
+			gap /= b.factor
 			if at += seconds(gap); at >= arrivals {
 				break
 			}
-			all = append(all, r.draw(k, random, at, len(all)))
+			j := r.draw(k, random, at, len(all))
+			r.drawDetail(k, random, &j, b)
+			all = append(all, j)
 		}
 	}
 	return all
 }
 
+// burstOf returns the burst of the kind at a time.
+func (r Row) burstOf(k *kind, at time.Duration) burst {
+	for _, b := range r.bursts {
+		if b.kind == k.name && at > b.from && at < b.to {
+			return b
+		}
+	}
+	return burst{factor: 1}
+}
+
 // draw draws one job of a kind.
 func (r Row) draw(k *kind, random *rand.Rand, at time.Duration, number int) job {
 	work := k.work.Seconds() * math.Exp(k.spread*random.NormFloat64())
@@ -155,7 +229,7 @@
 		float64(step.Need.Accelerators)/float64(r.room.Accelerators))
 	waves := math.Max(1, math.Ceil(share/waveShare))
 	return job{
-		arrives: at, work: seconds(work), value: k.value, share: share,
+		arrives: at, work: seconds(work), value: k.value, lateValue: k.lateValue, kind: k.name, share: share,
 		objective: k.target + seconds(k.stretch*work*waves),
 		graph: chestnutpond.Graph{
 			ID: chestnutpond.JobID(fmt.Sprintf("%016x", number+1)), Account: account,
