Whole workers are kept free for urgent gangs where the configuration asks for it

Cause: work of lower priority filled every whole worker, and urgent gangs then stopped it.

Change: plan.Config.Packing.Headroom keeps whole free workers for urgent work, as many as the rate, size and duration of recent urgent arrivals need beyond what runs, at most a fifth of a service. Resuming, short and late work may use them. The zero value places work as before.

--- a/internal/core/plan/bench_test.go
+++ b/internal/core/plan/bench_test.go
@@ -11,13 +11,19 @@
 
 // BenchmarkDecide measures a round on a full fleet of 64 workers with several
 // hundred waiting units, as on the busiest days of the larger deployments.
-func BenchmarkDecide(b *testing.B) {
+func BenchmarkDecide(b *testing.B) { benchmarkDecide(b, PackingPolicy{}) }
+
+// BenchmarkDecideHeadroom measures the same round with whole workers kept free.
+func BenchmarkDecideHeadroom(b *testing.B) { benchmarkDecide(b, PackingPolicy{Headroom: true}) }
+
+func benchmarkDecide(b *testing.B, policy PackingPolicy) {
 	t := &testing.T{}
 	racks := make([]int, 13)
 	for i := range racks {
 		racks[i] = 5
 	}
 	f := newTestbed(t, racks...)
+	f.p.cfg.Packing = policy
 	for i := range 30 {
 		f.submit(2, "stock", chestnutpond.Step{Count: 39, Need: small, Estimate: 9 * time.Second})
 		f.submit(1, "stock", chestnutpond.Step{Count: 7, Need: big, Estimate: 8 * time.Second, Gang: i%2 == 0})
--- a/internal/core/plan/decide.go
+++ b/internal/core/plan/decide.go
@@ -28,6 +28,7 @@
 	changed := false
 	clear(p.reserved)
 	clear(p.capacities)
+	clear(p.headroom)
 	clear(p.predictions)
 	p.reservations = 0
 	// Units of one step are interchangeable: if one cannot be placed, neither can
--- a/internal/core/plan/job.go
+++ b/internal/core/plan/job.go
@@ -240,6 +240,7 @@
 		j.occurrences = append(j.occurrences, j.newOccurrence(n))
 		if n == 0 {
 			p.recordWork(j)
+			p.observeArrival(now, j)
 		}
 	}
 	for _, o := range j.occurrences {
--- a/internal/core/plan/plan.go
+++ b/internal/core/plan/plan.go
@@ -52,6 +52,8 @@
 	RemoteSlowdown float64
 	// RestoreTime is the time needed to start a run from a checkpoint.
 	RestoreTime time.Duration
+	// Packing selects where work that may be preempted is placed.
+	Packing PackingPolicy
 }
 
 const (
@@ -105,6 +107,10 @@
 	lastInspection time.Duration
 	// wall is the wall-clock time of the last call of Decide.
 	wall time.Time
+	// urgent has the need of recent urgent arrivals by service, headroom the workers kept
+	// free for them in the current round.
+	urgent   map[string]urgentDemand
+	headroom map[string]map[*worker]bool
 	// notes are the notes since the last call of Notes.
 	notes []Note
 }
@@ -130,6 +136,8 @@
 
 		reserved:   map[*worker][]reservation{},
 		capacities: map[string]chestnutpond.Resources{},
+
+		urgent: map[string]urgentDemand{}, headroom: map[string]map[*worker]bool{},
 	}
 }
 
--- a/internal/core/plan/predict.go
+++ b/internal/core/plan/predict.go
@@ -128,13 +128,16 @@
 // that needed by reservations that start before the unit is expected to end. A unit
 // that fits is backfilled without delaying them.
 func (p *Planner) available(now time.Duration, u unit) capacityFunc {
-	end := now + p.expectedDuration(u.step)
+	end, avoids := now+p.expectedDuration(u.step), p.avoidsKeptFree(u)
 	cache := map[*worker]chestnutpond.Resources{}
 	return func(w *worker) chestnutpond.Resources {
 		if free, ok := cache[w]; ok {
 			return free
 		}
 		free := w.free()
+		if avoids && p.keptFree(now, w.info.Service)[w] {
+			free = chestnutpond.Resources{}
+		}
 		var reserved chestnutpond.Resources
 		for _, b := range p.reserved[w] {
 			reserved = reserved.Plus(b.need)
