Victims of preemption can be chosen by the cost of the whole plan

Cause: the runs that make room for a gang were chosen worker by worker, so that two jobs were stopped where one gang would have made room on both workers for less.

Change: plan.Config.Preemption.TotalCost compares whole plans, among them some that begin with the preemption of one gang; lost work counts from the last checkpoint. The zero value chooses runs as before.

--- a/internal/core/plan/bench_test.go
+++ b/internal/core/plan/bench_test.go
@@ -11,19 +11,26 @@
 
 // BenchmarkDecide measures a round on a full fleet of 64 workers with several
 // hundred waiting units, as on the busiest days of the larger deployments.
-func BenchmarkDecide(b *testing.B) { benchmarkDecide(b, PackingPolicy{}) }
+func BenchmarkDecide(b *testing.B) { benchmarkDecide(b, Config{}) }
 
 // BenchmarkDecideHeadroom measures the same round with whole workers kept free.
-func BenchmarkDecideHeadroom(b *testing.B) { benchmarkDecide(b, PackingPolicy{Headroom: true}) }
+func BenchmarkDecideHeadroom(b *testing.B) {
+	benchmarkDecide(b, Config{Packing: PackingPolicy{Headroom: true}})
+}
+
+// BenchmarkDecidePreemption measures the same round with victims by total cost.
+func BenchmarkDecidePreemption(b *testing.B) {
+	benchmarkDecide(b, Config{Preemption: PreemptionPolicy{TotalCost: true}})
+}
 
-func benchmarkDecide(b *testing.B, policy PackingPolicy) {
+func benchmarkDecide(b *testing.B, policies Config) {
 	t := &testing.T{}
 	racks := make([]int, 13)
 	for i := range racks {
 		racks[i] = 5
 	}
 	f := newTestbed(t, racks...)
-	f.p.cfg.Packing = policy
+	f.p.cfg.Packing, f.p.cfg.Preemption = policies.Packing, policies.Preemption
 	for i := range 30 {
 		f.submit(2, "stock", chestnutpond.Step{Count: 39, Need: small, Estimate: 9 * time.Second})
 		f.submit(1, "stock", chestnutpond.Step{Count: 7, Need: big, Estimate: 8 * time.Second, Gang: i%2 == 0})
--- a/internal/core/plan/plan.go
+++ b/internal/core/plan/plan.go
@@ -52,6 +52,8 @@
 	RemoteSlowdown float64
 	// RestoreTime is the time needed to start a run from a checkpoint.
 	RestoreTime time.Duration
+	// Preemption selects how runs are preempted.
+	Preemption PreemptionPolicy
 	// Packing selects where work that may be preempted is placed.
 	Packing PackingPolicy
 }
--- a/internal/core/plan/preempt.go
+++ b/internal/core/plan/preempt.go
@@ -122,6 +122,14 @@
 
 // planPreemptionOn is planPreemption restricted to the given workers.
 func (p *Planner) planPreemptionOn(now time.Duration, u unit, candidates []*worker, minPriority int) ([]*worker, []*run) {
+	if p.cfg.Preemption.TotalCost {
+		return p.planByTotalCost(now, u, candidates, minPriority)
+	}
+	return p.planInTurn(now, u, candidates, minPriority)
+}
+
+// planInTurn takes for each task of the unit in turn the worker that costs least.
+func (p *Planner) planInTurn(now time.Duration, u unit, candidates []*worker, minPriority int) ([]*worker, []*run) {
 	need := u.step.def.Reserved()
 	taken := map[*worker]chestnutpond.Resources{}
 	evicted := map[*run]bool{}
--- a/internal/test/graphs/policy_test.go
+++ b/internal/test/graphs/policy_test.go
@@ -24,6 +24,9 @@
 		policy plan.Config
 	}{
 		"whole workers stay free on B": {"deployment_b", plan.Config{Packing: plan.PackingPolicy{Headroom: true}}},
+		"victims by total cost on B": {"deployment_b", plan.Config{
+			Packing: plan.PackingPolicy{Headroom: true}, Preemption: plan.PreemptionPolicy{TotalCost: true},
+		}},
 	} {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
