--- a/internal/core/plan/plan.go
+++ b/internal/core/plan/plan.go
@@ -66,6 +66,12 @@
 	// PreemptEarly means that an urgent unit preempts at once if that costs little, and does
 	// not wait for capacity until its slack is used up.
 	PreemptEarly bool
+	// Headroom keeps whole workers free for urgent work, as many as the recent urgent
+	// arrivals need beyond what runs.
+	Headroom bool
+	// TotalCost compares whole plans of preemption over all workers by what they cost,
+	// instead of choosing runs worker by worker.
+	TotalCost bool
 }
 
 const (
@@ -127,6 +133,10 @@
 	lastInspection time.Duration
 	// wall is the wall-clock time of the last call of Decide.
 	wall time.Time
+	// urgent has the need of recent urgent arrivals by service, headroom the workers kept
+	// free for them in the current round.
+	urgent   map[string]urgentDemand
+	headroom map[string]map[*worker]bool
 	// notes are the notes since the last call of Notes.
 	notes []Note
 }
@@ -157,6 +167,8 @@
 
 		reserved:   map[*worker][]reservation{},
 		capacities: map[string]chestnutpond.Resources{},
+
+		urgent: map[string]urgentDemand{}, headroom: map[string]map[*worker]bool{},
 	}
 }
 
--- a/internal/test/graphs/learning_test.go
+++ b/internal/test/graphs/learning_test.go
@@ -29,7 +29,7 @@
 			var each [2][]float64
 			squared, predicted, under := 0.0, 0, 0
 			for i, learn := range []bool{false, true} {
-				r.Learn = learn
+				r.Policy.LearnDurations = learn
 				late[i] = map[string]int{}
 				for _, seed := range seeds {
 					got := Run(r, seed)
--- a/internal/test/graphs/load.go
+++ b/internal/test/graphs/load.go
@@ -16,6 +16,7 @@
 	"time"
 
 	"github.com/chestnutpond/chestnutpond"
+	"github.com/chestnutpond/chestnutpond/internal/core/plan"
 )
 
 // Seeds are the seeds of the table.
@@ -24,6 +25,8 @@
 const (
 	service = "service"
 	account = "account"
+	// rackSize is the number of workers of a rack where a row gives none.
+	rackSize = 3
 	// arrivals is how long jobs arrive.
 	arrivals = 40 * time.Second
 	// waveShare is the share of the service beyond which the objective of a step
@@ -50,6 +53,20 @@
 	shapes  []int64
 	stretch float64
 	target  time.Duration
+	detail
+}
+
+// detail has what only the kinds of deployments A and B have. No random number is drawn
+// for a zero value.
+type detail struct {
+	// lateValue is the value of a job that is done within lateFactor times its objective.
+	lateValue float64
+	// within is the deviation of the logarithm of the tasks' work within a job.
+	within float64
+	// secondStep, dataRack and sameRack are the shares of jobs with a second step, with
+	// data on one rack, and with gangs that are slow unless they run on one rack.
+	secondStep, dataRack, sameRack float64
+	checkpointable                 bool
 }
 
 // Row is a load.
@@ -58,17 +75,54 @@
 	workers int
 	room    chestnutpond.Resources
 	kinds   []kind
-	// burst times the arrivals of the most urgent kind between the seconds 8 and 16.
-	burst float64
-	// accounts is the number of client accounts that submit in turn, 0 for one. The estimates
-	// of every third one are too long by biasedBy.
-	accounts int
+	// submitters is the number of client accounts that submit in turn, 0 for one. The
+	// estimates of every third one are too long by biasedBy.
+	submitters int
 	// lasting is how long jobs arrive, if it is not the constant arrivals.
 	lasting time.Duration
 	// inside is the deviation of the logarithm of the work within a step that is no gang.
 	inside float64
-	// Learn has the planner learn durations.
-	Learn bool
+	bursts []burst
+	// rack is the number of workers of a rack, zero for rackSize, and zones the number
+	// of zones.
+	rack, zones int
+	accounts    []accountLoad
+	faults      []fault
+	// stop, checkpoint and restore are how long a run takes to stop, after how much work
+	// it writes a checkpoint, and how long it takes to start from one.
+	stop, checkpoint, restore time.Duration
+	// worthLeast is the least share of the jobs' value that callers get, zero where
+	// inTimeLeast applies instead.
+	worthLeast float64
+	// Policy is that of the planner.
+	Policy plan.Policy
+}
+
+// burst is more work of a kind for some time.
+type burst struct {
+	kind     string
+	from, to time.Duration
+	// factor multiplies the arrivals.
+	factor float64
+	// account is the one whose jobs the additional ones are; empty for all.
+	account string
+}
+
+// accountLoad is a client account.
+type accountLoad struct {
+	name string
+	// weight is its part of the jobs relative to the others.
+	weight int
+	// guarantee is the number of accelerators guaranteed to its urgent jobs.
+	guarantee int64
+}
+
+// fault is a fault of a worker for some time.
+type fault struct {
+	worker   int
+	from, to time.Duration
+	// rate is the speed of its runs; with zero they fail.
+	rate float64
 }
 
 // biasedBy is the factor of the estimates of accounts whose estimates are wrong.
@@ -79,9 +133,14 @@
 	graph   chestnutpond.Graph
 	arrives time.Duration
 	work    time.Duration
-	// factors are those of the tasks of a step whose work differs; nil if it does not.
-	factors []float64
 	value   float64
+	// tasks has the work of each task by step, nil if it is that of the job.
+	tasks     [][]time.Duration
+	lateValue float64
+	kind      string
+	ended     verdict
+	// preempted means that runs were stopped to make room for the job.
+	preempted bool
 	// share is the part of the service that its tasks take together, by its scarcest
 	// resource.
 	share float64
@@ -122,32 +181,32 @@
 }
 
 // Rows returns the loads: the two deployments of today, one of them in a burst of
-// urgent jobs, and a deployment of 53 workers.
+// urgent jobs, a deployment of 53 workers, and deployments A and B.
 func Rows() []Row {
-	return []Row{
-		{Name: "small_hosts", workers: 11, room: room64, kinds: kinds(1.8, 1, 1), burst: 1},
-		{Name: "large_hosts", workers: 11, room: room128, kinds: kinds(1.8, 2, 1), burst: 1},
-		{Name: "urgent_burst", workers: 11, room: room64, kinds: kinds(1.3, 1, 1), burst: 4},
-		{Name: "large_fleet", workers: 53, room: room128, kinds: kinds(5.5, 2, 1.8), burst: 1},
-	}
+	return append([]Row{
+		{Name: "small_hosts", workers: 11, room: room64, kinds: kinds(1.8, 1, 1)},
+		{Name: "large_hosts", workers: 11, room: room128, kinds: kinds(1.8, 2, 1)},
+		{Name: "urgent_burst", workers: 11, room: room64, kinds: kinds(1.3, 1, 1), bursts: []burst{{kind: "urgent", from: 8 * time.Second, to: 16 * time.Second, factor: 4}}},
+		{Name: "large_fleet", workers: 53, room: room128, kinds: kinds(5.5, 2, 1.8)},
+	}, deployments()...)
 }
 
 // LearningRows returns loads of which there is something to learn: of several accounts, of
 // which some estimate wrong, and with tasks that differ within a step.
 func LearningRows() []Row {
 	return []Row{
-		{Name: "accounts_off", workers: 11, room: room64, kinds: kinds(1.8, 1, 1), burst: 1, accounts: 9, lasting: time.Minute},
-		{Name: "tasks_differ", workers: 11, room: room64, kinds: kinds(1.8, 1, 1), burst: 1, accounts: 9, lasting: time.Minute, inside: 0.4},
+		{Name: "accounts_off", workers: 11, room: room64, kinds: kinds(1.8, 1, 1), submitters: 9, lasting: time.Minute},
+		{Name: "tasks_differ", workers: 11, room: room64, kinds: kinds(1.8, 1, 1), submitters: 9, lasting: time.Minute, inside: 0.4},
 	}
 }
 
 // accountNames returns the names of the accounts that submit.
 func (r Row) accountNames() []string {
-	if r.accounts == 0 {
+	if r.submitters == 0 {
 		return []string{account}
 	}
 	var names []string
-	for i := range r.accounts {
+	for i := range r.submitters {
 		names = append(names, fmt.Sprintf("%s-%d", account, i))
 	}
 	return names
@@ -162,23 +221,34 @@
 		k := &r.kinds[i]
 		for at := time.Duration(0); ; {
 			gap := random.ExpFloat64() * k.every.Seconds()
-			if k.priority == 0 && at > 8*time.Second && at < 16*time.Second {
-				gap /= r.burst
-			}
+			b := r.burstOf(k, at)
+			gap /= b.factor
 			if at += seconds(gap); at >= end {
 				break
 			}
-			all = append(all, r.draw(k, random, at, len(all)))
+			j := r.draw(k, random, at, len(all))
+			r.drawDetail(k, random, &j, b)
+			all = append(all, j)
 		}
 	}
 	return all
 }
 
+// burstOf returns the burst of the kind at a time.
+func (r Row) burstOf(k *kind, at time.Duration) burst {
+	for _, b := range r.bursts {
+		if b.kind == k.name && at > b.from && at < b.to {
+			return b
+		}
+	}
+	return burst{factor: 1}
+}
+
 // draw draws one job of a kind.
 func (r Row) draw(k *kind, random *rand.Rand, at time.Duration, number int) job {
 	work := k.work.Seconds() * math.Exp(k.spread*random.NormFloat64())
 	estimate := work * math.Exp(k.off*random.NormFloat64())
-	if r.accounts > 0 && number%r.accounts%3 == 2 {
+	if r.submitters > 0 && number%r.submitters%3 == 2 {
 		estimate *= biasedBy
 	}
 	count := min(max(1, int(random.ExpFloat64()*k.width+0.5)), 4*int(k.width)+1)
@@ -193,17 +263,19 @@
 	share := float64(count) / float64(r.workers) * max(
 		float64(step.Need.CPU)/float64(r.room.CPU), float64(step.Need.Memory)/float64(r.room.Memory),
 		float64(step.Need.Accelerators)/float64(r.room.Accelerators))
-	var factors []float64
+	var tasks [][]time.Duration
 	if r.inside > 0 && !step.Gang {
+		tasks = [][]time.Duration{nil}
 		for range count {
 			// The mean of the factors is 1.
-			factors = append(factors, math.Exp(r.inside*random.NormFloat64()-r.inside*r.inside/2))
+			factor := math.Exp(r.inside*random.NormFloat64() - r.inside*r.inside/2)
+			tasks[0] = append(tasks[0], seconds(work*factor))
 		}
 	}
 	names := r.accountNames()
 	waves := math.Max(1, math.Ceil(share/waveShare))
 	return job{
-		arrives: at, work: seconds(work), factors: factors, value: k.value, share: share,
+		arrives: at, work: seconds(work), tasks: tasks, value: k.value, lateValue: k.lateValue, kind: k.name, share: share,
 		objective: k.target + seconds(k.stretch*work*waves),
 		graph: chestnutpond.Graph{
 			ID: chestnutpond.JobID(fmt.Sprintf("%016x", number+1)), Account: names[number%len(names)],
@@ -215,12 +287,4 @@
 	}
 }
 
-// workOf returns the work of a task.
-func (j *job) workOf(index int) time.Duration {
-	if j.factors == nil {
-		return j.work
-	}
-	return seconds(j.work.Seconds() * j.factors[index])
-}
-
 func seconds(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
