--- a/internal/core/plan/fit.go
+++ b/internal/core/plan/fit.go
@@ -25,7 +25,7 @@
 // Slow workers and those on which a task of the unit last failed are used only if
 // it does not fit on others.
 func (p *Planner) fit(now time.Duration, u unit, free capacityFunc) []*worker {
-	healthy := func(w *worker) bool { return now-w.health.slowAt >= slowPeriod && !u.avoids(w) }
+	healthy := func(w *worker) bool { return !w.health.slow.avoided(now) && !u.avoids(w) }
 	if chosen := p.fitOn(now, u, p.candidates(now, u, healthy), free); chosen != nil {
 		return chosen
 	}
--- a/internal/core/plan/health.go
+++ b/internal/core/plan/health.go
@@ -45,8 +45,8 @@
 	lastFailedJob chestnutpond.JobID
 	// stuckAt is when a run on the worker was last found stuck, or 0.
 	stuckAt time.Duration
-	// slowAt is when the worker was last found slow.
-	slowAt time.Duration
+	// slow records when the worker was found slow.
+	slow slowness
 }
 
 // recordRefusal records that the worker refused an order.
@@ -64,6 +64,7 @@
 	switch ending {
 	case chestnutpond.RunDone:
 		h.suspicion, h.ejections, h.lastFailedJob = 0, 0, ""
+		h.slow = h.slow.completed(r.seen)
 	case chestnutpond.RunFailed:
 		id := r.job().graph.ID
 		switch {
--- a/internal/core/plan/plan.go
+++ b/internal/core/plan/plan.go
@@ -72,6 +72,8 @@
 	// TotalCost compares whole plans of preemption over all workers by what they cost,
 	// instead of choosing runs worker by worker.
 	TotalCost bool
+	// SlowBackoff avoids a worker for longer each time that it is found slow again.
+	SlowBackoff bool
 }
 
 const (
--- a/internal/core/plan/repair.go
+++ b/internal/core/plan/repair.go
@@ -19,9 +19,7 @@
 	rateWindow = time.Second
 	// slowRateShare is the share of a run's initial rate, or of the rate of the
 	// other tasks of its step, below which its worker is considered slow.
-	// slowPeriod is how long after the last such observation it is.
 	slowRateShare = 0.4
-	slowPeriod    = 2 * time.Second
 	// maxRestartShare limits the time for a restart elsewhere to a share of the
 	// time that a slow run still needs where it is.
 	maxRestartShare = 0.6
@@ -223,10 +221,10 @@
 		if share, ok := p.relativeRate(r); !ok || share > slowRateShare || rate <= 0 {
 			continue
 		}
-		w.health.slowAt = now
+		w.health.slow = w.health.slow.found(now, p.cfg.Policy.SlowBackoff)
 		left := time.Duration(float64(100-r.percent) / rate * float64(time.Second))
 		if p.restartTime(r) < time.Duration(maxRestartShare*float64(left)) {
-			p.moveIfFits(now, r, "worker is slow")
+			p.moveIfFits(now, r, reasonSlow)
 		}
 	}
 	if progressing && w.health.stuckAt > 0 {
@@ -288,7 +286,10 @@
 	if r.task.step.def.Gang {
 		u.tasks = r.task.step.tasks
 	}
-	elsewhere := func(w *worker) bool { return w != r.worker }
+	elsewhere := func(w *worker) bool {
+		// Another slow worker would not be faster.
+		return w != r.worker && !(p.cfg.Policy.SlowBackoff && reason == reasonSlow && w.health.slow.avoided(now))
+	}
 	if p.fitOn(now, u, p.candidates(now, u, elsewhere), p.available(now, u)) != nil {
 		p.move(now, r, reason)
 	}
