Evaluate a job against the planner without changing it

Change: Planner.Evaluate runs the round of Decide on a copy of the planner and records the decisions about the one job: workers, preempted runs, reservation, causes, excluded workers. Ruled out: a separate estimate of fit, which would differ from the round; an undo log, which every later change of state would have to keep up with.

--- a/internal/core/plan/decide.go
+++ b/internal/core/plan/decide.go
@@ -71,6 +71,7 @@
 // place assigns the unit to workers, preempting other runs if necessary, and
 // reports whether it did.
 func (p *Planner) place(now time.Duration, u unit) bool {
+	p.trial.observe(p, now, u)
 	if p.mustSettle(u) {
 		return false
 	}
--- a/internal/core/plan/early.go
+++ b/internal/core/plan/early.go
@@ -27,6 +27,7 @@
 
 // preempt stops the victims and assigns the unit to the chosen workers.
 func (p *Planner) preempt(now time.Duration, u unit, chosen []*worker, victims []*run) {
+	p.trial.observePreemption(p, now, u, victims)
 	for _, r := range victims {
 		p.stop(now, r, "makes room for more urgent work")
 		p.stopGang(now, r.task.step, r.number)
--- a/internal/core/plan/learned.go
+++ b/internal/core/plan/learned.go
@@ -159,6 +159,10 @@
 
 // learnFrom adds a sample to the model.
 func (p *Planner) learnFrom(c chestnutpond.TaskClass, s chestnutpond.DurationSample) {
+	if p.trial != nil {
+		// The model is shared with the planner that was copied.
+		return
+	}
 	p.model.Observe(c, s)
 	p.learnedMore = true
 	clear(p.predictions)
--- a/internal/core/plan/plan.go
+++ b/internal/core/plan/plan.go
@@ -129,6 +129,9 @@
 	wall time.Time
 	// notes are the notes since the last call of Notes.
 	notes []Note
+	// trial observes the decisions about one job; nil unless the planner is a copy that
+	// Evaluate has made.
+	trial *trial
 }
 
 // account is a client account and the number of accelerators guaranteed to its most
--- a/internal/core/plan/predict.go
+++ b/internal/core/plan/predict.go
@@ -171,6 +171,7 @@
 
 // reserve reserves the chosen workers for a unit that starts at a given time.
 func (p *Planner) reserve(u unit, chosen []*worker, at time.Duration) {
+	p.trial.observeReservation(u, at)
 	for _, w := range chosen {
 		p.reserved[w] = append(p.reserved[w], reservation{at: at, need: u.step.def.Reserved()})
 	}
