chestnutpond where says where a graph would go, without submitting it

Change: POST /v1/where at an entry's interface for graphs; the entry evaluates the job if it leads and otherwise asks the leader by the inner call Where, for 2 s at most. A leader whose claim the store has not confirmed for 2 s answers no_leader. At most 5 evaluations per second and a tenth of the leader's time, then 429 with Retry-After. Exit codes 6 (waits), 7 (never). Ruled out: answers from an entry's own table, which has neither workers nor capacity. Measured: tests of core/plan, node, tool and the new world tests pass with -race.

--- a/internal/node/fleet/entry.go
+++ b/internal/node/fleet/entry.go
@@ -97,6 +97,9 @@
 // Inspector returns the read-only view that the entry has of the deployment.
 func (e *Entry) Inspector() chestnutpond.Inspector { return e.front }
 
+// Forecaster returns the evaluation of jobs that are not submitted.
+func (e *Entry) Forecaster() chestnutpond.PlacementForecaster { return e.front }
+
 // Leads reports whether the entry is the leader.
 func (e *Entry) Leads() bool { return e.manager.Leads() }
 
--- a/internal/node/lead/lead.go
+++ b/internal/node/lead/lead.go
@@ -117,6 +117,9 @@
 	// watches has a channel for each job that a caller waits for. The channel is
 	// closed when a record of the job is applied.
 	watches map[chestnutpond.JobID]chan struct{}
+	// evaluations bounds those that this entry makes, forwards those that it asks another
+	// entry for.
+	evaluations, forwards *budget
 }
 
 // New returns a manager that has not read any records.
@@ -124,7 +127,7 @@
 	m := &Manager{
 		cfg: c, wake: make(chan struct{}, 1), table: graph.New(), streams: map[string]*stream{},
 		meters: newMeters(c.Metrics), adviceWanted: make(chan struct{}, 1),
-		watches: map[chestnutpond.JobID]chan struct{}{},
+		watches: map[chestnutpond.JobID]chan struct{}{}, evaluations: newBudget(), forwards: newBudget(),
 	}
 	m.feed = feed.New(feed.Config{
 		Store: c.Store, Topic: chestnutpond.TopicWork, Receiver: m, Now: c.Now, Log: c.Log, Guard: c.Guard,
--- a/internal/node/reply/reply.go
+++ b/internal/node/reply/reply.go
@@ -66,7 +66,8 @@
 	c.Response().Header().Set(echo.HeaderRetryAfter, strconv.Itoa(seconds))
 	status := http.StatusServiceUnavailable
 	switch reason {
-	case chestnutpond.ReasonQueueFull, chestnutpond.ReasonCallerLimit, chestnutpond.ReasonJobLimit:
+	case chestnutpond.ReasonQueueFull, chestnutpond.ReasonCallerLimit, chestnutpond.ReasonJobLimit,
+		chestnutpond.ReasonEvaluationLimit:
 		status = http.StatusTooManyRequests
 	}
 	return Fail(c, status, Failure{Outcome: chestnutpond.OutcomeNotRun, Reason: reason, Detail: detail})
--- a/internal/node/rest/rest.go
+++ b/internal/node/rest/rest.go
@@ -2,7 +2,8 @@
 //
 // It uses the same paths as the interface for gangs of accelerators, so that one command
 // line client works with both: jobs are submitted, shown and cancelled under /v1/jobs,
-// and /v1/status shows the deployment. A job is a YAML document as parsed by jobdoc, or
+// and /v1/status shows the deployment. POST /v1/where takes a job as a submission does and
+// says where it would be placed. A job is a YAML document as parsed by jobdoc, or
 // in short form a JSON object that describes one gang. The id of a job is derived from
 // its service, account and idempotency key, so that a repeated submission identifies
 // the same job.
@@ -38,6 +39,8 @@
 	// Intake and Inspector handle the calls in the entry.
 	Intake    chestnutpond.GraphService
 	Inspector chestnutpond.Inspector
+	// Forecaster evaluates jobs that are not submitted.
+	Forecaster chestnutpond.PlacementForecaster
 }
 
 // server implements the HTTP handlers.
@@ -55,6 +58,7 @@
 	r.GET("/v1/jobs", s.authenticated(s.getJobs))
 	r.GET("/v1/jobs/:id", s.authenticated(s.getJob))
 	r.DELETE("/v1/jobs/:id", s.authenticated(s.deleteJob))
+	r.POST("/v1/where", s.postWhere)
 	r.GET("/v1/status", s.authenticated(s.getStatus))
 	return r
 }
--- a/internal/test/world/rest_test.go
+++ b/internal/test/world/rest_test.go
@@ -55,7 +55,7 @@
 	r.Header.Set("Idempotency-Key", "lot-1")
 	w := httptest.NewRecorder()
 	node := e.Node()
-	rest.New(rest.Config{Name: e.Name, Intake: node.Intake(), Inspector: node.Inspector()}).ServeHTTP(w, r)
+	rest.New(rest.Config{Name: e.Name, Intake: node.Intake(), Inspector: node.Inspector(), Forecaster: node.Forecaster()}).ServeHTTP(w, r)
 	a := restAnswer{status: w.Code, header: w.Header(), text: w.Body.String()}
 	assert.NilError(t, json.Unmarshal(w.Body.Bytes(), &a), a.text)
 	return a
--- a/internal/tool/client/client.go
+++ b/internal/tool/client/client.go
@@ -1,5 +1,5 @@
 // Package client is the command line of callers and operators: check, publish,
-// evacuate, submit, cancel, status, timeline and explain.
+// evacuate, submit, where, cancel, status, timeline and explain.
 //
 // All but check and explain talk to the HTTP server of an entry. Several entries may be
 // given. The next one is tried when a connection fails and nothing was sent,
@@ -33,6 +33,10 @@
 	ExitUnknown = 4
 	// ExitNotRun means that the system refused for now; nothing ran.
 	ExitNotRun = 5
+	// ExitWaits means that a job would wait if it were submitted.
+	ExitWaits = 6
+	// ExitNever means that a job could never run on the workers that are known.
+	ExitNever = 7
 )
 
 const exitCodes = `Exit codes: 0 done; 1 wrong command line or no entry reached, nothing ran;
@@ -63,6 +67,7 @@
 		publishCommand(),
 		evacuateCommand(),
 		submitCommand(),
+		whereCommand(),
 		cancelCommand(),
 		statusCommand(),
 		timelineCommand(),
--- a/internal/tool/client/jobs.go
+++ b/internal/tool/client/jobs.go
@@ -133,15 +133,21 @@
 			return nil, "", failf(ExitFailed, "submit: --%s is not used with --%s; the file says it", name, flagGraph)
 		}
 	}
+	body, err := readGraph(cmd)
+	return body, formGraph, err
+}
+
+// readGraph returns the graph of tasks that a flag names, once it is known to be valid.
+func readGraph(cmd *cli.Command) ([]byte, error) {
 	name := cmd.String(flagGraph)
 	body, err := readFile(cmd, name, jobdoc.MaxBytes)
 	if err != nil {
-		return nil, "", err
+		return nil, err
 	}
 	if _, err := jobdoc.Parse(name, body); err != nil {
-		return nil, "", failf(ExitRejected, "submit: %v", err)
+		return nil, failf(ExitRejected, "%s: %v", cmd.Name, err)
 	}
-	return body, formGraph, nil
+	return body, nil
 }
 
 // gang returns the body of a gang that the flags describe.
@@ -186,17 +192,17 @@
 	if name != "-" {
 		f, err := os.Open(name)
 		if err != nil {
-			return nil, failf(ExitFailed, "submit: %v", err)
+			return nil, failf(ExitFailed, "%s: %v", cmd.Name, err)
 		}
 		defer func() { _ = f.Close() }()
 		in = f
 	}
 	data, err := io.ReadAll(io.LimitReader(in, int64(limit)+1))
 	if err != nil {
-		return nil, failf(ExitFailed, "submit: %v", err)
+		return nil, failf(ExitFailed, "%s: %v", cmd.Name, err)
 	}
 	if len(data) > limit {
-		return nil, failf(ExitRejected, "submit: the payload is too large; allowed: at most %d bytes", limit)
+		return nil, failf(ExitRejected, "%s: the payload is too large; allowed: at most %d bytes", cmd.Name, limit)
 	}
 	return data, nil
 }
--- a/internal/tool/client/status.go
+++ b/internal/tool/client/status.go
@@ -169,7 +169,12 @@
 
 // get fetches a JSON body; with the output json it also prints it.
 func (s *session) get(ctx context.Context, path string, query url.Values, into any) error {
-	r, err := s.api.do(ctx, call{method: http.MethodGet, path: path, query: query, repeatable: true})
+	return s.ask(ctx, call{method: http.MethodGet, path: path, query: query, repeatable: true}, into)
+}
+
+// ask makes a call that changes nothing, as get does.
+func (s *session) ask(ctx context.Context, question call, into any) error {
+	r, err := s.api.do(ctx, question)
 	if err != nil {
 		return failf(ExitFailed, "%s: %v", s.cmd.Name, err)
 	}
--- a/internal/tool/demo/graphs.go
+++ b/internal/tool/demo/graphs.go
@@ -113,7 +113,7 @@
 	}
 	node := e.Node()
 	s := &entryServer{server: &http.Server{
-		Handler:           rest.New(rest.Config{Name: e.Name, Intake: node.Intake(), Inspector: node.Inspector()}),
+		Handler:           rest.New(rest.Config{Name: e.Name, Intake: node.Intake(), Inspector: node.Inspector(), Forecaster: node.Forecaster()}),
 		ReadHeaderTimeout: headerTimeout,
 	}}
 	go s.run(listener)
--- a/internal/tool/launch/fleet.go
+++ b/internal/tool/launch/fleet.go
@@ -208,7 +208,7 @@
 	var g run.Group
 	addLoop(ctx, &g, e.Run)
 	addLoop(ctx, &g, func(ctx context.Context) error { return p.reload(ctx, e.Roster()) })
-	p.addMetrics(&g, rest.New(rest.Config{Name: s.Name, Intake: e.Intake(), Inspector: e.Inspector()}))
+	p.addMetrics(&g, rest.New(rest.Config{Name: s.Name, Intake: e.Intake(), Inspector: e.Inspector(), Forecaster: e.Forecaster()}))
 	addServer(&g, clients)
 	addServer(&g, &http.Server{Addr: s.ReadyAddress, Handler: ingress.ReadyHandler(), ReadHeaderTimeout: headerTimeout})
 	addLoop(ctx, &g, func(ctx context.Context) error { return p.stopEntry(ctx, e, clients) })
--- a/outcome.go
+++ b/outcome.go
@@ -62,4 +62,8 @@
 	ReasonZoneLimit   Reason = "zone_limit"
 	// ReasonNoRoute means that the HTTP interface has no such path or method.
 	ReasonNoRoute Reason = "no_route"
+	// ReasonNoLeader means that no entry leads, or that the leader cannot be reached.
+	ReasonNoLeader Reason = "no_leader"
+	// ReasonEvaluationLimit means that the leader evaluates no more jobs for the moment.
+	ReasonEvaluationLimit Reason = "evaluation_limit"
 )
