Status of a waiting graph says what it waits for

Cause: the line of a waiting job had only the counts of its tasks. Change: chestnutpond status ID asks with cause=true, and the entry adds the cause and the expected start by the evaluation of the job as it is. Callers that poll do not ask, as each answer costs the leader an evaluation; without an answer in 0.5 s the line is as before. The test of the client's call expects the new query, as exactly as before.

--- a/internal/core/plan/trial.go
+++ b/internal/core/plan/trial.go
@@ -80,8 +80,11 @@
 
 // Evaluate returns how the next round would place a job if it were accepted now. The round is
 // that of Decide, on a copy of the planner, which itself does not change. A job that the
-// planner has already is evaluated as it is.
+// planner has already is evaluated as it is; one that has ended has no steps.
 func (p *Planner) Evaluate(now time.Duration, wall time.Time, g *chestnutpond.Graph) chestnutpond.PlacementForecast {
+	if known := p.jobs[g.ID]; known != nil && known.phase.Final() {
+		return chestnutpond.PlacementForecast{}
+	}
 	c := p.clone()
 	c.trial = &trial{job: g.ID, steps: map[*step]*stepTrial{}}
 	c.Accept(g)
@@ -155,6 +158,9 @@
 		f.State = chestnutpond.PlacementNever
 		return f
 	}
+	if len(f.Causes) == 0 {
+		f.Causes = []chestnutpond.WaitCause{chestnutpond.CauseFormerRun}
+	}
 	if p.startsHeld {
 		f.Causes = []chestnutpond.WaitCause{chestnutpond.CauseStartsHeld}
 	}
--- a/internal/node/jobsvc/where.go
+++ b/internal/node/jobsvc/where.go
@@ -21,3 +21,11 @@
 	}
 	return f.cfg.Lead.Forecast(ctx, &g)
 }
+
+// WhereJob implements chestnutpond.PlacementForecaster.
+func (f *Service) WhereJob(ctx context.Context, target chestnutpond.RouteTarget, id chestnutpond.JobID) (chestnutpond.PlacementForecast, chestnutpond.CallResult) {
+	if _, v := f.lookup(ctx, target, id); v.Outcome != chestnutpond.OutcomeAnswered {
+		return chestnutpond.PlacementForecast{}, v
+	}
+	return f.cfg.Lead.ForecastJob(ctx, id)
+}
--- a/internal/node/lead/where.go
+++ b/internal/node/lead/where.go
@@ -44,15 +44,13 @@
 
 // take takes an evaluation, or returns how long to wait for one.
 func (b *budget) take(now time.Duration) time.Duration {
-	if now < b.restsUntil {
-		return b.restsUntil - now
-	}
 	at := time.Unix(0, int64(now))
 	r := b.limiter.ReserveN(at, 1)
-	wait := r.DelayFrom(at)
-	if wait > 0 {
-		r.CancelAt(at)
+	wait := max(r.DelayFrom(at), b.restsUntil-now)
+	if wait <= 0 {
+		return 0
 	}
+	r.CancelAt(at)
 	return wait
 }
 
@@ -82,6 +80,20 @@
 	return m.askLeader(ctx, leader, g)
 }
 
+// ForecastJob is Forecast for a job of the table.
+func (m *Manager) ForecastJob(ctx context.Context, id chestnutpond.JobID) (chestnutpond.PlacementForecast, chestnutpond.CallResult) {
+	m.mu.Lock()
+	j := m.table.Job(id)
+	m.mu.Unlock()
+	if j == nil {
+		return chestnutpond.PlacementForecast{}, chestnutpond.CallResult{
+			Outcome: chestnutpond.OutcomeRejected, Reason: chestnutpond.ReasonUnknownJob,
+		}
+	}
+	// The graph of a job never changes.
+	return m.Forecast(ctx, j.Graph)
+}
+
 // askLeader asks another entry, which leads by the records that this one has read.
 func (m *Manager) askLeader(ctx context.Context, leader graph.Leader, g *chestnutpond.Graph) (chestnutpond.PlacementForecast, chestnutpond.CallResult) {
 	name, address := leader.GetEntry().GetName(), leader.GetEntry().GetAddress()
--- a/internal/node/rest/status.go
+++ b/internal/node/rest/status.go
@@ -96,7 +96,7 @@
 	}
 	for _, g := range s.cfg.Inspector.Jobs(account) {
 		if g.ID == id {
-			return c.JSON(http.StatusOK, newJobView(g))
+			return c.JSON(http.StatusOK, s.withCause(c, account, g, newJobView(g)))
 		}
 	}
 	return reply.Reject(c, http.StatusNotFound, chestnutpond.ReasonUnknownJob, "no job "+string(id))
--- a/internal/node/rest/where.go
+++ b/internal/node/rest/where.go
@@ -1,7 +1,10 @@
 package rest
 
 import (
+	"context"
+	"fmt"
 	"net/http"
+	"time"
 
 	"github.com/labstack/echo/v4"
 
@@ -9,6 +12,14 @@
 	"github.com/chestnutpond/chestnutpond/internal/node/reply"
 )
 
+const (
+	// queryCause asks for the cause for which a job waits. Callers that poll for the end of a
+	// job leave it out, because each answer costs the leader an evaluation.
+	queryCause = "cause"
+	// causeTimeout bounds the time that the cause may take; the state is shown without it.
+	causeTimeout = 500 * time.Millisecond
+)
+
 // whereView says where a job would be placed now.
 type whereView struct {
 	Outcome chestnutpond.Outcome        `json:"outcome"`
@@ -122,3 +133,38 @@
 	}
 	return v
 }
+
+// withCause adds to the view of a job with waiting tasks what they wait for, if the call asks
+// for it and the leader says so.
+func (s *server) withCause(c echo.Context, account string, g chestnutpond.GraphView, v jobView) jobView {
+	if c.QueryParam(queryCause) != "true" || g.State.Final() || g.Running+g.Done == g.Tasks && g.Tasks > 0 {
+		return v
+	}
+	ctx, cancel := context.WithTimeout(c.Request().Context(), causeTimeout)
+	defer cancel()
+	f, result := s.cfg.Forecaster.WhereJob(ctx, accountTarget(account), g.ID)
+	if result.Outcome == chestnutpond.OutcomeAnswered {
+		v.Waiting += waitLine(f)
+	}
+	return v
+}
+
+// waitLine describes why the first step that is not placed waits.
+func waitLine(f chestnutpond.PlacementForecast) string {
+	for _, s := range f.Steps {
+		if len(s.Causes) == 0 {
+			continue
+		}
+		switch s.State {
+		case chestnutpond.PlacementNow:
+		case chestnutpond.PlacementNever:
+			return fmt.Sprintf("; step %d can never run on the known workers: %s", s.Step, s.Causes[0])
+		case chestnutpond.PlacementWaits:
+			if s.StartKnown {
+				return fmt.Sprintf("; step %d waits for %s, expected to start in %s", s.Step, s.Causes[0], s.StartsIn.Round(time.Millisecond))
+			}
+			return fmt.Sprintf("; step %d waits for %s", s.Step, s.Causes[0])
+		}
+	}
+	return ""
+}
--- a/internal/test/world/where_test.go
+++ b/internal/test/world/where_test.go
@@ -117,3 +117,29 @@
 		})
 	}
 }
+
+// Guards against a waiting job whose state does not say what it waits for, against a cause for
+// one that runs, and against an evaluation for each call of callers that poll.
+func TestCauseOfAWaitingJob(t *testing.T) {
+	cases := map[string]struct {
+		job, path, cause string
+	}{
+		"never":     {strings.Replace(lots, "accelerators: 1", "accelerators: 1000", 1), "?cause=true", "; step 0 can never run on the known workers: too_large"},
+		"waits":     {"kind: lots\nsteps:\n  - {count: 40, cpu_millis: 100, accelerators: 1, estimate: 5s}\n", "?cause=true", "; step 0 waits for accelerators, expected to start in "},
+		"no start":  {"kind: lots\nsteps:\n  - {count: 9, cpu_millis: 100, per_worker: 2}\n", "?cause=true", "; step 0 waits for per_worker"},
+		"runs":      {lots, "?cause=true", ""},
+		"not asked": {strings.Replace(lots, "accelerators: 1", "accelerators: 1000", 1), "", ""},
+	}
+	for name, tt := range cases {
+		t.Run(name, func(t *testing.T) {
+			playWith(t, 10*time.Second, withTokens, func(t *testing.T, w *World) {
+				e := w.Entries[1]
+				id := e.rest(t, "POST", "/v1/jobs", salesToken, yamlForm, tt.job).ID
+				time.Sleep(time.Second)
+				shown := e.rest(t, "GET", "/v1/jobs/"+id+tt.path, salesToken, "", "").Waiting
+				_, cause, _ := strings.Cut(shown, "done")
+				assert.Assert(t, strings.HasPrefix(cause, tt.cause) && (tt.cause != "" || cause == ""), shown)
+			})
+		})
+	}
+}
--- a/internal/tool/client/client_test.go
+++ b/internal/tool/client/client_test.go
@@ -272,8 +272,8 @@
 			"ACCOUNT  REGION  GUARANTEED  USED  BORROWED  WAITING  COVERED  DEBT\nventas   pampa   8           2     0         1        true     1.5\n",
 			"j1   ventas   forecast  bulk   pampa   16 in one rack  queued  0        waits: no rack has 16 free\n",
 		}},
-		"one job":       {[]string{"status", "j2"}, answer{200, job2}, "GET /v1/jobs/j2 ", 0, []string{"2 in one worker  running  1        w1[0,3]; within the guarantee\n"}},
-		"json":          {[]string{"status", "--output", "json", "j2"}, answer{200, job2}, "GET /v1/jobs/j2 ", 0, []string{"{\n  \"id\": \"j2\",\n"}},
+		"one job":       {[]string{"status", "j2"}, answer{200, job2}, "GET /v1/jobs/j2?cause=true ", 0, []string{"2 in one worker  running  1        w1[0,3]; within the guarantee\n"}},
+		"json":          {[]string{"status", "--output", "json", "j2"}, answer{200, job2}, "GET /v1/jobs/j2?cause=true ", 0, []string{"{\n  \"id\": \"j2\",\n"}},
 		"status broken": {[]string{"status"}, answer{200, "<html>"}, "GET /v1/status ", ExitFailed, nil},
 		"unauthorized":  {[]string{"status"}, answer{401, `{"outcome":"rejected","reason":"unauthorized"}`}, "GET /v1/status ", ExitRejected, nil},
 	}
--- a/internal/tool/client/status.go
+++ b/internal/tool/client/status.go
@@ -156,7 +156,7 @@
 	var jobs []job
 	for _, id := range cmd.Args().Slice() {
 		var one job
-		if err := s.get(ctx, "/v1/jobs/"+url.PathEscape(id), nil, &one); err != nil {
+		if err := s.get(ctx, "/v1/jobs/"+url.PathEscape(id), url.Values{"cause": {"true"}}, &one); err != nil {
 			return err
 		}
 		jobs = append(jobs, one)
--- a/where.go
+++ b/where.go
@@ -46,6 +46,9 @@
 	CauseSettling WaitCause = "workers_reporting"
 	// CauseStartsHeld means that the leader has not read the operators' requests recently.
 	CauseStartsHeld WaitCause = "starts_held"
+	// CauseFormerRun means that a task waits for the end of its former run, or for another
+	// worker than the one on which it failed.
+	CauseFormerRun WaitCause = "former_run"
 	// CauseSchedule means that the job is not due.
 	CauseSchedule WaitCause = "schedule"
 )
@@ -134,4 +137,6 @@
 	// Where returns where the job would be placed. The outcome is OutcomeAnswered if the
 	// leader evaluated it by its current state.
 	Where(ctx context.Context, target RouteTarget, g Graph) (PlacementForecast, CallResult)
+	// WhereJob is Where for the waiting tasks of a job that was submitted.
+	WhereJob(ctx context.Context, target RouteTarget, id JobID) (PlacementForecast, CallResult)
 }
