--- a/internal/node/lead/lead.go
+++ b/internal/node/lead/lead.go
@@ -121,6 +121,9 @@
 	watches map[chestnutpond.JobID]chan struct{}
 	// received is the newest forecast of the leader.
 	received received
+	// evaluations bounds those that this entry makes, forwards those that it asks another
+	// entry for.
+	evaluations, forwards *budget
 }
 
 // New returns a manager that has not read any records.
@@ -128,7 +131,7 @@
 	m := &Manager{
 		cfg: c, wake: make(chan struct{}, 1), table: graph.New(), streams: map[string]*stream{},
 		meters: newMeters(c.Metrics), adviceWanted: make(chan struct{}, 1),
-		watches: map[chestnutpond.JobID]chan struct{}{},
+		watches: map[chestnutpond.JobID]chan struct{}{}, evaluations: newBudget(), forwards: newBudget(),
 	}
 	m.feed = feed.New(feed.Config{
 		Store: c.Store, Topic: chestnutpond.TopicWork, Receiver: m, Now: c.Now, Log: c.Log, Guard: c.Guard,
--- a/outcome.go
+++ b/outcome.go
@@ -64,4 +64,8 @@
 	ReasonNoCapacity Reason = "no_capacity"
 	// ReasonNoRoute means that the HTTP interface has no such path or method.
 	ReasonNoRoute Reason = "no_route"
+	// ReasonNoLeader means that no entry leads, or that the leader cannot be reached.
+	ReasonNoLeader Reason = "no_leader"
+	// ReasonEvaluationLimit means that the leader evaluates no more jobs for the moment.
+	ReasonEvaluationLimit Reason = "evaluation_limit"
 )
