--- a/internal/core/plan/repair.go
+++ b/internal/core/plan/repair.go
@@ -287,8 +287,11 @@
 		u.tasks = r.task.step.tasks
 	}
 	elsewhere := func(w *worker) bool {
-		// Another slow worker would not be faster.
-		return w != r.worker && !(p.cfg.Policy.SlowBackoff && reason == reasonSlow && w.health.slow.avoided(now))
+		if p.cfg.Policy.SlowBackoff && reason == reasonSlow && w.health.slow.avoided(now) {
+			// Another slow worker would not be faster.
+			return false
+		}
+		return w != r.worker
 	}
 	if p.fitOn(now, u, p.candidates(now, u, elsewhere), p.available(now, u)) != nil {
 		p.move(now, r, reason)
--- a/internal/test/graphs/outcome.go
+++ b/internal/test/graphs/outcome.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"fmt"
 	"maps"
+	"math"
 	"slices"
 
 	"github.com/chestnutpond/chestnutpond"
@@ -156,3 +157,13 @@
 	return text + fmt.Sprintf(" worst accounts %.2f, large %.2f, %.0f core-seconds discarded, %.0f for urgent work, %.2f for each gained, stops %v",
 		o.WorstAccounts/n, o.Large/n, o.Discarded, o.Preempted, o.Preempted/max(1, o.Gained), o.Stops)
 }
+
+// countPrediction compares a run with its prediction.
+func (r *Result) countPrediction(n plan.Note) {
+	r.Predicted++
+	if n.Took <= n.Prediction.P90 {
+		r.UnderP90++
+	}
+	off := math.Log(float64(n.Took) / float64(n.Prediction.Median))
+	r.SquaredError += off * off
+}
--- a/internal/test/graphs/run.go
+++ b/internal/test/graphs/run.go
@@ -3,7 +3,6 @@
 import (
 	"cmp"
 	"fmt"
-	"math"
 	"slices"
 	"time"
 
@@ -205,15 +204,6 @@
 	return ended
 }
 
-func (r *Result) countPrediction(n plan.Note) {
-	r.Predicted++
-	if n.Took <= n.Prediction.P90 {
-		r.UnderP90++
-	}
-	off := math.Log(float64(n.Took) / float64(n.Prediction.Median))
-	r.SquaredError += off * off
-}
-
 // ended takes a job that ended.
 func (l *loop) ended(j *job, n plan.Note) {
 	inTime := n.State == chestnutpond.JobCompleted && n.Took <= j.objective
--- a/internal/test/stand/keyed.go
+++ b/internal/test/stand/keyed.go
@@ -58,23 +58,6 @@
 	s.down = f
 }
 
-// SetUnreadable makes the reads of a topic fail; the empty topic ends that.
-func (s *KeyedStore) SetUnreadable(topic chestnutpond.Topic) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.unreadable = topic
-}
-
-// readable returns an error if the reads of a topic fail.
-func (s *KeyedStore) readable(topic chestnutpond.Topic) error {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if topic == s.unreadable {
-		return &chestnutpond.StoreError{Fault: chestnutpond.StoreUnavailable}
-	}
-	return nil
-}
-
 // SetDeaf leaves reads that wait for records without an answer, as if watches had
 // been lost; all other calls are served.
 func (s *KeyedStore) SetDeaf(on bool) {
@@ -404,17 +387,3 @@
 func sortedKeys[V any](m map[string]V) []string {
 	return slices.Sorted(maps.Keys(m))
 }
-
-// FreshCaller reads over new connections on a caller's way, so that none is stale.
-type FreshCaller struct{ *StoreCaller }
-
-// Read implements chestnutpond.Store.
-func (c FreshCaller) Read(ctx context.Context, topic chestnutpond.Topic, from int64, wait time.Duration) (chestnutpond.KeyedBatch, error) {
-	c.mu.Lock()
-	fault, silent := c.fault, c.silent
-	c.mu.Unlock()
-	if err := fail(ctx, fault, silent); err != nil {
-		return chestnutpond.KeyedBatch{}, err
-	}
-	return c.Store.Read(ctx, topic, from, wait)
-}
--- /dev/null
+++ b/internal/test/world/operate.go
@@ -0,0 +1,41 @@
+package world
+
+import (
+	"github.com/chestnutpond/chestnutpond"
+	"github.com/chestnutpond/chestnutpond/internal/test/stand"
+)
+
+// documents are kept by version; their records hold only the version.
+func (w *World) parse(key string, _ []byte) (chestnutpond.Document, bool, error) {
+	return w.cfg.Document, key == "document", nil
+}
+
+// Publish puts a document into the store.
+func (w *World) Publish(d chestnutpond.Document) {
+	w.cfg.Document = d
+	way := &stand.StoreCaller{Store: w.Store}
+	_, err := way.Append(w.ctx, chestnutpond.TopicDesired, chestnutpond.KeyedAppend{
+		Records: []chestnutpond.KeyedRecord{{Key: "document", Value: []byte{byte(d.Version)}}},
+	})
+	if err != nil {
+		panic(err)
+	}
+}
+
+// evacuationPrefix precedes the zone in the key of a request for an evacuation.
+const evacuationPrefix = "evacuate-"
+
+// SetEvacuated requests the evacuation of a zone, or takes the request back.
+func (w *World) SetEvacuated(zone string, on bool) {
+	var value []byte
+	if on {
+		value = []byte("{}")
+	}
+	way := &stand.StoreCaller{Store: w.Store}
+	_, err := way.Append(w.ctx, chestnutpond.TopicDesired, chestnutpond.KeyedAppend{
+		Records: []chestnutpond.KeyedRecord{{Key: evacuationPrefix + zone, Value: value}},
+	})
+	if err != nil {
+		panic(err)
+	}
+}
--- a/internal/test/world/world.go
+++ b/internal/test/world/world.go
@@ -161,41 +161,6 @@
 	return w
 }
 
-// documents are kept by version; their records hold only the version.
-func (w *World) parse(key string, _ []byte) (chestnutpond.Document, bool, error) {
-	return w.cfg.Document, key == "document", nil
-}
-
-// Publish puts a document into the store.
-func (w *World) Publish(d chestnutpond.Document) {
-	w.cfg.Document = d
-	way := &stand.StoreCaller{Store: w.Store}
-	_, err := way.Append(w.ctx, chestnutpond.TopicDesired, chestnutpond.KeyedAppend{
-		Records: []chestnutpond.KeyedRecord{{Key: "document", Value: []byte{byte(d.Version)}}},
-	})
-	if err != nil {
-		panic(err)
-	}
-}
-
-// evacuationPrefix precedes the zone in the key of a request for an evacuation.
-const evacuationPrefix = "evacuate-"
-
-// SetEvacuated requests the evacuation of a zone, or takes the request back.
-func (w *World) SetEvacuated(zone string, on bool) {
-	var value []byte
-	if on {
-		value = []byte("{}")
-	}
-	way := &stand.StoreCaller{Store: w.Store}
-	_, err := way.Append(w.ctx, chestnutpond.TopicDesired, chestnutpond.KeyedAppend{
-		Records: []chestnutpond.KeyedRecord{{Key: evacuationPrefix + zone, Value: value}},
-	})
-	if err != nil {
-		panic(err)
-	}
-}
-
 func (w *World) base(name string, way *stand.StoreCaller, listener net.Listener) fleet.Base {
 	seeds := []string{}
 	for i := range w.cfg.Entries {
