--- a/internal/core/plan/evacuate_test.go
+++ b/internal/core/plan/evacuate_test.go
@@ -29,6 +29,14 @@
 	b.p.SetEvacuations(b.now, e)
 }
 
+// decideAndStore decides and stores the records, without handing out orders.
+func (b *testbed) decideAndStore() {
+	b.p.Decide(b.now, b.wall)
+	batch, err := b.p.TakeBatch(b.wall)
+	assert.NilError(b.t, err)
+	b.p.BatchStored(batch)
+}
+
 // inZone returns the number of runs on the workers of a zone.
 func (b *testbed) inZone(zone string) int {
 	n := 0
@@ -56,18 +64,12 @@
 		},
 		"stored before": func(b *testbed) {
 			b.submit(1, "stock", job)
-			b.p.Decide(b.now, b.wall)
-			batch, err := b.p.TakeBatch(b.wall)
-			assert.NilError(b.t, err)
-			b.p.BatchStored(batch)
+			b.decideAndStore()
 			b.evacuate("east")
 		},
 		"handed out before": func(b *testbed) {
 			b.submit(1, "stock", job)
-			b.p.Decide(b.now, b.wall)
-			batch, err := b.p.TakeBatch(b.wall)
-			assert.NilError(b.t, err)
-			b.p.BatchStored(batch)
+			b.decideAndStore()
 			for _, w := range b.workers {
 				_, known := b.p.Orders(b.now, w.info.ID)
 				assert.Assert(b.t, known)
