A term grants leases by the time its claim was sent

Cause: an entry that was paused between the effect of its claim and the answer began its term with the claim confirmed at the time it woke, and could grant leases for 8 s from then on. A successor that claimed during the pause counts these 8 s from its own claim. An agent cut off from the successor could so get a lease that ends after the successor replaces its runs. Change: the confirmation of a claim counts from when its call, or the read that found it, was sent.

--- a/internal/node/lead/claim.go
+++ b/internal/node/lead/claim.go
@@ -197,7 +197,7 @@
 			// Another entry claimed first, or an earlier attempt of this claim was
 			// stored.
 			if leader.GetNonce() == nonce {
-				m.beginFound(leader, nonce, sequence, why)
+				m.beginFound(leader, claimStored{sent: m.feed.Status().Fresh, nonce: nonce, sequence: sequence, why: why})
 			}
 			return
 		}
@@ -207,12 +207,13 @@
 			m.cfg.Log.Error("cannot encode the claim record", "error", err)
 			return
 		}
+		sent := m.cfg.Now()
 		offset, err := m.cfg.Store.Append(ctx, chestnutpond.TopicWork, chestnutpond.KeyedAppend{
 			Records: []chestnutpond.KeyedRecord{record}, CheckEnd: true, ExpectedEnd: end,
 			Producer: &chestnutpond.Producer{Name: producerName, Epoch: before + 1, Sequence: sequence},
 		})
 		if err == nil && offset == end {
-			m.beginAppended(leader, claimed, offset, nonce, sequence, why)
+			m.beginAppended(leader, claimed, claimStored{offset: offset, sent: sent, nonce: nonce, sequence: sequence, why: why})
 			return
 		}
 		if !m.shouldRetryClaim(ctx, err) {
@@ -239,14 +240,25 @@
 	}
 }
 
+// claimStored describes a claim that the store has confirmed.
+type claimStored struct {
+	offset int64
+	// sent is when the call that confirmed the claim was sent. Leases are granted by this
+	// time and not by that of the answer, because another entry may claim in between.
+	sent     time.Duration
+	nonce    string
+	sequence int64
+	why      string
+}
+
 // beginAppended begins the term of a claim that was stored right after the last
 // record that this entry has read.
-func (m *Manager) beginAppended(former graph.Leader, claimed *inner.LeaderRecord, offset int64, nonce string, sequence int64, why string) {
+func (m *Manager) beginAppended(former graph.Leader, claimed *inner.LeaderRecord, c claimStored) {
 	record, err := graph.LeaderRecord(claimed)
 	if err != nil {
 		return
 	}
-	record.Offset = offset
+	record.Offset = c.offset
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	if m.stopping {
@@ -260,18 +272,18 @@
 	if m.table.Leader().GetEpoch() != claimed.GetEpoch() {
 		return
 	}
-	m.startTerm(claimed.GetEpoch(), nonce, sequence, earlierGrants, grants, why)
+	m.startTerm(claimed.GetEpoch(), c, earlierGrants, grants)
 }
 
 // beginFound begins the term of a claim that was found among the records read.
 // Other records may follow it; all of them have been applied to the table.
-func (m *Manager) beginFound(found graph.Leader, nonce string, sequence int64, why string) {
+func (m *Manager) beginFound(found graph.Leader, c claimStored) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	if m.stopping || m.term != nil {
 		return
 	}
-	m.startTerm(found.GetEpoch(), nonce, sequence, grantWindow, grantWindow, why)
+	m.startTerm(found.GetEpoch(), c, grantWindow, grantWindow)
 }
 
 // formerGrants returns how much longer the leaders before the previous one, and all
@@ -288,7 +300,7 @@
 
 // startTerm creates the planner from the table and begins the term. The lock is
 // held.
-func (m *Manager) startTerm(epoch int64, nonce string, sequence int64, earlierGrants, grants time.Duration, why string) {
+func (m *Manager) startTerm(epoch int64, c claimStored, earlierGrants, grants time.Duration) {
 	now := m.cfg.Now()
 	planner := plan.New(plan.Config{
 		Epoch: epoch, Lease: m.cfg.Lease, FormerGrantPeriod: grants, ClaimedAt: now, Wall: m.cfg.WallClock(), Retention: m.cfg.Retention,
@@ -307,13 +319,13 @@
 		m.cfg.Guard.Run(func() { planner.Load(j) }, "job", j.ID)
 	}
 	m.term = &term{
-		epoch: epoch, nonce: nonce, planner: planner, sequence: sequence, confirmedAt: now,
+		epoch: epoch, nonce: c.nonce, planner: planner, sequence: c.sequence, confirmedAt: c.sent,
 		formerGrantsEnd: now + grants, earlierGrantsEnd: now + earlierGrants, lastHeartbeat: now, learnedAt: now, appendToken: make(chan struct{}, 1),
 	}
 	m.term.returnAppendToken()
 	m.suspicion = suspicion{}
-	m.meters.termStarted(why)
-	m.cfg.Log.Info("term begins", "epoch", epoch, "reason", why, "jobs", len(jobs), "active", planner.Active(),
+	m.meters.termStarted(c.why)
+	m.cfg.Log.Info("term begins", "epoch", epoch, "reason", c.why, "jobs", len(jobs), "active", planner.Active(),
 		"read_to", m.table.Next(), "former_grants", grants)
 	m.wakeStreams()
 	m.wakeUp()
