A paused entry reads the log before it acts on its state

Cause: an entry that was paused for some seconds checked keys and chose targets by the state of before the pause until its next read ended. The zone of a target was not looked at again after the wait for a connection. Change: Tail.AwaitRead waits for the next read if no read has ended for 6.5 s, which happens only across a pause; a log that is slow, down or silent delays nothing. Keys are checked after it, and a request is sent after it and after a look at the zone of its target.

--- a/internal/core/route/evacuate.go
+++ b/internal/core/route/evacuate.go
@@ -24,3 +24,10 @@
 		r.restoreLastTargets(now, t.endpoints)
 	}
 }
+
+// Evacuated reports whether the zone of a target is under evacuation. It is false for an
+// unknown target.
+func (r *Router) Evacuated(name string) bool {
+	t, ok := r.targets[name]
+	return ok && t.evacuated
+}
--- a/internal/node/entry/http.go
+++ b/internal/node/entry/http.go
@@ -25,6 +25,9 @@
 	maxCaller = 128
 	// maxJSON is the maximum size of a JSON body without its payload, in bytes.
 	maxJSON = 16 << 10
+	// maxPauseWait bounds the wait for the log after a pause of the process, before the keys
+	// of accounts are checked. A read that is not answered ends after 4 s.
+	maxPauseWait = 5 * time.Second
 	// maxDocument is the maximum size of a service document, in bytes.
 	maxDocument = 1 << 20
 )
@@ -149,6 +152,7 @@
 			return principal{operator: o.Name}, true
 		}
 	}
+	e.tail.AwaitRead(maxPauseWait)
 	doc, _ := e.currentDocument()
 	for _, a := range doc.Accounts {
 		if a.TokenSHA256 == digest {
--- a/internal/node/serve/attempt.go
+++ b/internal/node/serve/attempt.go
@@ -122,10 +122,16 @@
 	if err := s.awaitConnection(address, deadline); err != nil {
 		return refusedAttempt(inner.Refusal_REFUSAL_UPSTREAM_DOWN, err.Error())
 	}
+	// A process that was paused since its last read may not know of an evacuation.
+	s.cfg.Tail.AwaitRead(deadline - s.now())
 	left := deadline - s.now()
 	if left <= 0 {
 		return refusedAttempt(inner.Refusal_REFUSAL_DEADLINE, "deadline passed before the request was sent")
 	}
+	if s.evacuated(target) {
+		// The evacuation became known after the target had been selected.
+		return refusedAttempt(inner.Refusal_REFUSAL_DRAINING, "zone is evacuated")
+	}
 	call.Timeout = durationpb.New(left)
 	if row.Member.GetRegion() != s.cfg.Region {
 		s.metrics.crossRegionBytes.Inc(int64(proto.Size(call)))
@@ -137,6 +143,13 @@
 	return s.resolve(r, call, target, row.Member.GetIncarnation(), deadline)
 }
 
+// evacuated reports whether the zone of a target is under evacuation.
+func (s *Server) evacuated(target string) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.router.Evacuated(target)
+}
+
 func (s *Server) awaitConnection(address string, deadline time.Duration) error {
 	ctx, cancel := context.WithTimeout(context.Background(), min(connectTimeout, deadline-s.now()))
 	defer cancel()
--- a/internal/node/serve/fake_test.go
+++ b/internal/node/serve/fake_test.go
@@ -191,7 +191,9 @@
 	unreachable map[string]bool
 	// groups are the memberships of entries by address; dropReplies is the number
 	// of exchange replies still to be dropped.
-	groups      map[string]*peers.Group
+	groups map[string]*peers.Group
+	// connecting, if set, is called after a target was selected and before the call to it.
+	connecting  func()
 	dropReplies int
 }
 
@@ -218,7 +220,13 @@
 	return fleet.Peer{Name: name, Incarnation: 1, Address: name, Lost: c.unreachable[name]}, true
 }
 
-func (c *fakeCluster) Ready(context.Context, string) error      { return nil }
+func (c *fakeCluster) Ready(context.Context, string) error {
+	if c.connecting != nil {
+		c.connecting()
+	}
+	return nil
+}
+
 func (c *fakeCluster) Replace(string, grpc.ClientConnInterface) {}
 
 func (c *fakeCluster) Get(address string) (grpc.ClientConnInterface, func(), error) {
--- a/internal/node/tail/tail.go
+++ b/internal/node/tail/tail.go
@@ -28,8 +28,11 @@
 	// availabilityTimeout is how long after the last successful read the log
 	// counts as available.
 	availabilityTimeout = 4 * time.Second
-	initialBackoff      = 20 * time.Millisecond
-	maxBackoff          = time.Second
+	// pauseTimeout is the time without an ended read after which the process must have
+	// been paused: a read that times out, the longest backoff, and a second for a slow host.
+	pauseTimeout   = readWait + readTimeout + 3*maxBackoff/2 + time.Second
+	initialBackoff = 20 * time.Millisecond
+	maxBackoff     = time.Second
 )
 
 // Config configures a Tail.
@@ -64,6 +67,11 @@
 	moved chan struct{}
 	// lastRead is when the last successful read was sent.
 	lastRead time.Time
+	// checkedAt is when the last read ended, with all records applied or with a failure.
+	// Reads across which the process was paused do not count.
+	checkedAt time.Time
+	// checked is closed and replaced whenever checkedAt is set.
+	checked chan struct{}
 	// available is the availability of the log at the last check.
 	available bool
 	// applyErr is set when a record of a later release stops the reader.
@@ -72,7 +80,7 @@
 
 // New returns a Tail with an empty state.
 func New(cfg Config) *Tail {
-	return &Tail{cfg: cfg, state: ledger.New(), moved: make(chan struct{})}
+	return &Tail{cfg: cfg, state: ledger.New(), moved: make(chan struct{}), checked: make(chan struct{})}
 }
 
 // View calls f with the state under a read lock; f must not retain the state.
@@ -130,8 +138,12 @@
 	delay.InitialInterval = initialBackoff
 	delay.MaxInterval = maxBackoff
 	for ctx.Err() == nil {
-		err := t.step(ctx)
+		began := time.Now()
+		atEnd, err := t.step(ctx)
 		t.updateAvailability()
+		if (atEnd || err != nil) && time.Since(began) < pauseTimeout {
+			t.setChecked()
+		}
 		if err == nil {
 			delay.Reset()
 			continue
@@ -147,9 +159,12 @@
 	return nil
 }
 
-func (t *Tail) step(ctx context.Context) error {
+// step loads the state or reads once. It reports whether the state then has all records
+// that the log had.
+func (t *Tail) step(ctx context.Context) (bool, error) {
 	if !t.Loaded() {
-		return t.load(ctx)
+		err := t.load(ctx)
+		return err == nil, err
 	}
 	t.mu.RLock()
 	from := t.state.Next()
@@ -157,13 +172,42 @@
 	batch, sent, err := t.read(ctx, from, readWait)
 	var trimmed *chestnutpond.TrimmedError
 	if errors.As(err, &trimmed) {
-		return t.load(ctx)
+		err := t.load(ctx)
+		return err == nil, err
 	}
 	if err != nil {
-		return err
+		return false, err
 	}
 	t.setLastRead(sent)
-	return t.applyRecords(batch.Records)
+	return from+int64(len(batch.Records)) >= batch.Next, t.applyRecords(batch.Records)
+}
+
+// AwaitRead returns at once unless the process was paused since the last read ended. It
+// then waits for the next read to end, at most for the given time, because until then
+// withdrawn keys and evacuations may not be known. A log that does not answer delays
+// nothing: reads from it end by their timeout.
+func (t *Tail) AwaitRead(limit time.Duration) {
+	t.mu.RLock()
+	paused := !t.checkedAt.IsZero() && time.Since(t.checkedAt) >= pauseTimeout && t.applyErr == nil
+	checked := t.checked
+	t.mu.RUnlock()
+	if !paused || limit <= 0 {
+		return
+	}
+	timer := time.NewTimer(limit)
+	defer timer.Stop()
+	select {
+	case <-checked:
+	case <-timer.C:
+	}
+}
+
+func (t *Tail) setChecked() {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.checkedAt = time.Now()
+	close(t.checked)
+	t.checked = make(chan struct{})
 }
 
 func (t *Tail) read(ctx context.Context, from int64, wait time.Duration) (chestnutpond.Batch, time.Time, error) {
