--- a/internal/node/entry/env_test.go
+++ b/internal/node/entry/env_test.go
@@ -69,12 +69,18 @@
 // newTestEnv starts an entry without agents or documents.
 func newTestEnv(t *testing.T) *testEnv {
 	t.Helper()
-	w := &testEnv{t: t, log: stand.NewLog("s"), metrics: stats.New(), stopped: make(chan struct{}), client: &http.Client{}}
+	return newTestEnvOn(t, "entry-1", stand.NewLog("s"))
+}
+
+// newTestEnvOn starts an entry on a log.
+func newTestEnvOn(t *testing.T, name string, log *stand.Log) *testEnv {
+	t.Helper()
+	w := &testEnv{t: t, log: log, metrics: stats.New(), stopped: make(chan struct{}), client: &http.Client{}}
 	e, err := New(Config{
-		Name: "entry-1", Region: "pampa", Zone: "pampa-a", Incarnation: 1,
+		Name: name, Region: "pampa", Zone: "pampa-a", Incarnation: 1,
 		Listen: "127.0.0.1:0", InnerListen: "127.0.0.1:0", Log: w.log,
 		Operators:     []Operator{{Name: "op", TokenSHA256: tokenDigest(operatorToken)}},
-		ParseDocument: new(svcdoc.Reader).Parse, Events: newRing("entry-1"), Metrics: w.metrics, FleetSettle: time.Nanosecond,
+		ParseDocument: new(svcdoc.Reader).Parse, Events: newRing(name), Metrics: w.metrics, FleetSettle: time.Nanosecond,
 		Logs: slogs.New(slogs.Config{Out: io.Discard}),
 	})
 	assert.NilError(t, err)
