Two claims at once with late and lost answers

Cause: no test claimed at two entries at the same time on a store whose answers are late or lost. Change: TestClaimsAtOnce claims at both, with all pairs of four delays and of lost answers.

--- a/internal/node/lead/claim_test.go
+++ b/internal/node/lead/claim_test.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"fmt"
 	"log/slog"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -92,3 +94,36 @@
 		})
 	}
 }
+
+// TestClaimsAtOnce guards against two entries that both lead after claims at the same time,
+// with answers of the store that are late or lost: their orders would go out twice.
+func TestClaimsAtOnce(t *testing.T) {
+	pauses := []time.Duration{0, time.Millisecond, time.Second, 5 * time.Second}
+	for _, a := range pauses {
+		for _, b := range pauses {
+			for lost := range 4 {
+				t.Run(fmt.Sprint(a, b, lost), func(t *testing.T) {
+					synctest.Test(t, func(t *testing.T) {
+						store := stand.NewKeyedStore()
+						managers := []*Manager{
+							newManager("a", &pausingStore{Store: store, pause: a, loseAnswer: lost&1 != 0}),
+							newManager("b", &pausingStore{Store: store, pause: b, loseAnswer: lost&2 != 0}),
+						}
+						var claims sync.WaitGroup
+						for _, m := range managers {
+							claims.Go(func() { m.claim(t.Context(), "test") })
+						}
+						for range 200 {
+							time.Sleep(100 * time.Millisecond)
+							assert.Assert(t, !managers[0].Leads() || !managers[1].Leads())
+						}
+						claims.Wait()
+						if lost == 0 {
+							assert.Assert(t, managers[0].Leads() || managers[1].Leads())
+						}
+					})
+				})
+			}
+		}
+	}
+}
