--- a/internal/core/plan/decide.go
+++ b/internal/core/plan/decide.go
@@ -28,6 +28,7 @@
 	changed := false
 	clear(p.reserved)
 	clear(p.capacities)
+	clear(p.headroom)
 	clear(p.predictions)
 	p.reservations = 0
 	// Units of one step are interchangeable: if one cannot be placed, neither can
@@ -71,6 +72,7 @@
 // place assigns the unit to workers, preempting other runs if necessary, and
 // reports whether it did.
 func (p *Planner) place(now time.Duration, u unit) bool {
+	p.trial.observe(p, now, u)
 	if p.mustSettle(u) {
 		return false
 	}
--- a/internal/core/plan/plan.go
+++ b/internal/core/plan/plan.go
@@ -27,6 +27,7 @@
 
 	"github.com/chestnutpond/chestnutpond"
 	"github.com/chestnutpond/chestnutpond/internal/core/graph"
+	"github.com/chestnutpond/chestnutpond/internal/core/learn"
 )
 
 // Config configures a Planner.
@@ -52,6 +53,27 @@
 	RemoteSlowdown float64
 	// RestoreTime is the time needed to start a run from a checkpoint.
 	RestoreTime time.Duration
+	// Policy switches parts of the planner.
+	Policy Policy
+}
+
+// Policy switches the parts of the planner that a deployment may leave off. The zero value
+// has all of them off.
+type Policy struct {
+	// LearnDurations means that durations are predicted by package learn and by what the
+	// runs of a step show, not by the statistics of its queue alone.
+	LearnDurations bool
+	// PreemptEarly means that an urgent unit preempts at once if that costs little, and does
+	// not wait for capacity until its slack is used up.
+	PreemptEarly bool
+	// Headroom keeps whole workers free for urgent work, as many as the recent urgent
+	// arrivals need beyond what runs.
+	Headroom bool
+	// TotalCost compares whole plans of preemption over all workers by what they cost,
+	// instead of choosing runs worker by worker.
+	TotalCost bool
+	// SlowBackoff avoids a worker for longer each time that it is found slow again.
+	SlowBackoff bool
 }
 
 const (
@@ -89,6 +111,10 @@
 	lastBatch int64
 	// stats has the statistics of the queues by name.
 	stats map[string]*queueStats
+	// model predicts durations; nil unless Config.LearnDurations is set. learnedMore means
+	// that it has had a sample since the last call of TakeLearned.
+	model       *learn.Model
+	learnedMore bool
 	// predictions caches expected durations in the current round. It is cleared
 	// when the statistics change.
 	predictions map[*step]time.Duration
@@ -109,8 +135,15 @@
 	lastInspection time.Duration
 	// wall is the wall-clock time of the last call of Decide.
 	wall time.Time
+	// urgent has the need of recent urgent arrivals by service, headroom the workers kept
+	// free for them in the current round.
+	urgent   map[string]urgentDemand
+	headroom map[string]map[*worker]bool
 	// notes are the notes since the last call of Notes.
 	notes []Note
+	// trial observes the decisions about one job; nil unless the planner is a copy that
+	// Evaluate has made.
+	trial *trial
 }
 
 // account is a client account and the number of accelerators guaranteed to its most
@@ -122,8 +155,13 @@
 
 // New returns a planner without jobs or workers.
 func New(c Config) *Planner {
+	var model *learn.Model
+	if c.Policy.LearnDurations {
+		model = learn.New(learn.Config{})
+	}
 	return &Planner{
 		cfg:      c,
+		model:    model,
 		wall:     c.Wall,
 		accounts: map[string]*account{},
 		jobs:     map[chestnutpond.JobID]*job{},
@@ -134,6 +172,8 @@
 
 		reserved:   map[*worker][]reservation{},
 		capacities: map[string]chestnutpond.Resources{},
+
+		urgent: map[string]urgentDemand{}, headroom: map[string]map[*worker]bool{},
 	}
 }
 
@@ -207,6 +247,8 @@
 	NoteWorker  NoteKind = "worker"
 	// NoteRemoved is a job whose retention is over.
 	NoteRemoved NoteKind = "removed"
+	// NotePredicted is a run that has ended and whose duration had been learned before.
+	NotePredicted NoteKind = "predicted"
 )
 
 // Note is a decision or an observed change, for logs and metrics.
@@ -221,10 +263,12 @@
 	// had the job first.
 	Source graph.Source
 	// Queue, State and Took are set for a job that started or ended. Took is the
-	// time since its acceptance.
+	// time since its acceptance. For a predicted run, Took is its duration.
 	Queue string
 	State chestnutpond.JobState
 	Took  time.Duration
+	// Prediction is set for a predicted run.
+	Prediction chestnutpond.Prediction
 }
 
 // maxNotes limits the notes between two calls of Notes; further ones are dropped.
--- a/internal/core/plan/preempt.go
+++ b/internal/core/plan/preempt.go
@@ -31,6 +31,9 @@
 		p.reserveEarliest(now, u)
 		return false
 	}
+	if p.preemptEarly(now, u) {
+		return true
+	}
 	wait := slack - startDelay
 	if guaranteed {
 		wait = min(max(wait, 0), guaranteeWait-p.age(u))
@@ -50,11 +53,7 @@
 			if !guaranteed && p.cost(now, u, victims) >= p.gain(u) {
 				break
 			}
-			for _, r := range victims {
-				p.stop(now, r, "makes room for more urgent work")
-				p.stopGang(now, r.task.step, r.number)
-			}
-			p.assign(now, u, chosen)
+			p.preempt(now, u, chosen, victims)
 			return true
 		}
 	}
@@ -122,6 +121,14 @@
 
 // planPreemptionOn is planPreemption restricted to the given workers.
 func (p *Planner) planPreemptionOn(now time.Duration, u unit, candidates []*worker, minPriority int) ([]*worker, []*run) {
+	if p.cfg.Policy.TotalCost {
+		return p.planByTotalCost(now, u, candidates, minPriority)
+	}
+	return p.planInTurn(now, u, candidates, minPriority)
+}
+
+// planInTurn takes for each task of the unit in turn the worker that costs least.
+func (p *Planner) planInTurn(now time.Duration, u unit, candidates []*worker, minPriority int) ([]*worker, []*run) {
 	need := u.step.def.Reserved()
 	taken := map[*worker]chestnutpond.Resources{}
 	evicted := map[*run]bool{}
--- a/internal/node/entry/http_test.go
+++ b/internal/node/entry/http_test.go
@@ -50,6 +50,10 @@
 	"account reads doc":     {call{method: "GET", path: "/v1/document", token: salesToken}, 403, "rejected", "unauthorized", "only operators"},
 	"account reads events":  {call{method: "GET", path: "/v1/events", token: salesToken}, 403, "rejected", "unauthorized", "only operators"},
 	"account asks for pub":  {call{method: "GET", path: "/v1/publications/x", token: salesToken}, 403, "rejected", "unauthorized", "only operators"},
+	"account evacuates":     {call{method: "PUT", path: "/v1/evacuations?zone=pampa-a", token: salesToken}, 403, "rejected", "unauthorized", "only operators"},
+	"evacuates, no token":   {call{method: "PUT", path: "/v1/evacuations?zone=pampa-a"}, 401, "rejected", "unauthorized", "missing or unknown"},
+	"unknown zone":          {call{method: "PUT", path: "/v1/evacuations?zone=cuyo-a", token: operatorToken}, 422, "rejected", "unknown_zone", "no zone cuyo-a; known zones: pampa-a"},
+	"undo, unknown zone":    {call{method: "DELETE", path: "/v1/evacuations", token: operatorToken}, 422, "rejected", "unknown_zone", "known zones: pampa-a"},
 	"unknown path":          {call{method: "GET", path: "/v1/nothing", token: salesToken}, 404, "rejected", "no_route", "GET /v1/nothing"},
 	"unknown method":        {call{method: "PATCH", path: "/v1/jobs", token: salesToken}, 405, "rejected", "no_route", "PATCH /v1/jobs"},
 	"unknown kind":          {requestCall("none", salesToken, "", nil), 404, "rejected", "unknown_kind", "kind none"},
@@ -145,6 +149,16 @@
 			call{method: "PUT", path: "/v1/document?base=1&id=p", token: operatorToken, body: testDocument},
 			http.StatusGatewayTimeout, chestnutpond.OutcomeUnknown,
 		},
+		"evacuation refused": {
+			stand.LogFaults{Outage: true},
+			call{method: "PUT", path: "/v1/evacuations?zone=pampa-a", token: operatorToken},
+			http.StatusServiceUnavailable, chestnutpond.OutcomeNotRun,
+		},
+		"evacuation without answer": {
+			stand.LogFaults{Delay: stand.Duration(time.Hour)},
+			call{method: "DELETE", path: "/v1/evacuations?zone=pampa-a", token: operatorToken},
+			http.StatusGatewayTimeout, chestnutpond.OutcomeUnknown,
+		},
 		"job refused": {
 			stand.LogFaults{Outage: true},
 			jobCall(salesToken, "k", fullWorkerJob),
--- a/internal/node/fleet/entry.go
+++ b/internal/node/fleet/entry.go
@@ -8,6 +8,7 @@
 	"github.com/oklog/run"
 
 	"github.com/chestnutpond/chestnutpond"
+	"github.com/chestnutpond/chestnutpond/internal/core/plan"
 	"github.com/chestnutpond/chestnutpond/internal/node/jobsvc"
 	"github.com/chestnutpond/chestnutpond/internal/node/lead"
 	"github.com/chestnutpond/chestnutpond/internal/node/roster"
@@ -46,8 +47,13 @@
 	Retention      time.Duration
 	RemoteSlowdown float64
 	RestoreTime    time.Duration
+	// Policy switches parts of the planner.
+	Policy plan.Policy
 	// Adviser is nil if no queue needs advice.
 	Adviser chestnutpond.Adviser
+	// Admission makes the leader compute forecasts of when work starts, and the entry reject
+	// jobs that could not end in time. It has to be the same on all entries.
+	Admission bool
 }
 
 // Entry is the process on an entry host. It handles client calls and takes part in
@@ -74,10 +80,13 @@
 		Lease: c.Lease, Retention: c.Retention, RemoteSlowdown: c.RemoteSlowdown, RestoreTime: c.RestoreTime, Metrics: e.base.Metrics,
 		Adviser: c.Adviser, Guard: e.guard, EvacuationDelay: c.EvacuationDelay,
 		OperatorsFresh: func() time.Duration { return e.front.Feed().Status().Fresh },
+		Policy:         c.Policy, MaxRecord: c.MaxRecord,
+		Forecasts: c.Admission,
 	})
 	e.front = jobsvc.New(jobsvc.Config{
 		Store: e.store, StoreLatency: e.store.Health, Lead: e.manager, ParseDocument: c.ParseDocument, ParseEvacuation: c.ParseEvacuation, Now: c.Now, WallClock: c.Wall,
 		Log: c.Logs.Logger("front"), Metrics: e.base.Metrics, Guard: e.guard, MaxRecord: c.MaxRecord,
+		Admission: c.Admission,
 	})
 	e.addAgeGauge(chestnutpond.TopicWork, e.manager.Feed())
 	e.addAgeGauge(chestnutpond.TopicDesired, e.front.Feed())
@@ -93,6 +102,9 @@
 // Inspector returns the read-only view that the entry has of the deployment.
 func (e *Entry) Inspector() chestnutpond.Inspector { return e.front }
 
+// Forecaster returns the evaluation of jobs that are not submitted.
+func (e *Entry) Forecaster() chestnutpond.PlacementForecaster { return e.front }
+
 // Leads reports whether the entry is the leader.
 func (e *Entry) Leads() bool { return e.manager.Leads() }
 
--- a/internal/node/lead/lead.go
+++ b/internal/node/lead/lead.go
@@ -24,6 +24,7 @@
 
 	"github.com/chestnutpond/chestnutpond"
 	"github.com/chestnutpond/chestnutpond/internal/core/graph"
+	"github.com/chestnutpond/chestnutpond/internal/core/plan"
 	"github.com/chestnutpond/chestnutpond/internal/node/feed"
 	"github.com/chestnutpond/chestnutpond/internal/node/mesh"
 	"github.com/chestnutpond/chestnutpond/internal/node/roster"
@@ -72,12 +73,18 @@
 	// OperatorsFresh returns a time such that all requests of the operators that were stored
 	// before it have been applied. It may be nil if EvacuationDelay is zero.
 	OperatorsFresh func() time.Duration
+	// Policy switches parts of the planner.
+	Policy plan.Policy
+	// MaxRecord bounds a record of the store in bytes; zero means no bound.
+	MaxRecord int
 	// Metrics receives the metrics of the leader.
 	Metrics *stats.Registry
 	// Adviser is nil if no queue needs advice.
 	Adviser chestnutpond.Adviser
 	// Guard contains panics.
 	Guard *guard.Guard
+	// Forecasts makes the leader compute forecasts, and the entry use them.
+	Forecasts bool
 }
 
 // Manager follows the work topic, and leads while this entry has the newest claim.
@@ -112,6 +119,11 @@
 	// watches has a channel for each job that a caller waits for. The channel is
 	// closed when a record of the job is applied.
 	watches map[chestnutpond.JobID]chan struct{}
+	// received is the newest forecast of the leader.
+	received received
+	// evaluations bounds those that this entry makes, forwards those that it asks another
+	// entry for.
+	evaluations, forwards *budget
 }
 
 // New returns a manager that has not read any records.
@@ -119,7 +131,7 @@
 	m := &Manager{
 		cfg: c, wake: make(chan struct{}, 1), table: graph.New(), streams: map[string]*stream{},
 		meters: newMeters(c.Metrics), adviceWanted: make(chan struct{}, 1),
-		watches: map[chestnutpond.JobID]chan struct{}{},
+		watches: map[chestnutpond.JobID]chan struct{}{}, evaluations: newBudget(), forwards: newBudget(),
 	}
 	m.feed = feed.New(feed.Config{
 		Store: c.Store, Topic: chestnutpond.TopicWork, Receiver: m, Now: c.Now, Log: c.Log, Guard: c.Guard,
@@ -142,6 +154,9 @@
 			m.cfg.Log.Error("skipping invalid record", "offset", r.Offset, "error", err)
 			continue
 		}
+		if l := m.table.Leader(); l.Offset == r.Offset {
+			m.receiveForecast(l)
+		}
 		if l := m.table.Leader(); l.GetEpoch() != before {
 			m.cfg.Log.Info("leader changed", "epoch", l.GetEpoch(), "leader", l.GetEntry().GetName(), "offset", r.Offset)
 			m.leaderChanged()
@@ -187,6 +202,7 @@
 	}
 	if j.State == nil {
 		m.term.planner.Load(j)
+		m.term.forecast.predict(j.Graph)
 	}
 	if j.Cancelled {
 		m.term.planner.Cancel(m.cfg.Now(), j.ID)
@@ -319,32 +335,6 @@
 	}
 }
 
-// writeCeded stores a record that tells the successor that this entry no longer
-// grants leases.
-func (m *Manager) writeCeded(ctx context.Context) {
-	m.mu.Lock()
-	epoch := m.cededEpoch
-	m.mu.Unlock()
-	if epoch == 0 {
-		return
-	}
-	record, err := graph.CededRecord(epoch)
-	if err == nil {
-		_, err = m.cfg.Store.Append(ctx, chestnutpond.TopicWork, chestnutpond.KeyedAppend{
-			Records: []chestnutpond.KeyedRecord{record},
-		})
-	}
-	if err != nil {
-		m.cfg.Log.Warn("cannot store the end of the term", "epoch", epoch, "error", err)
-		return
-	}
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	if m.cededEpoch == epoch {
-		m.cededEpoch = 0
-	}
-}
-
 func (m *Manager) currentTerm() *term {
 	m.mu.Lock()
 	defer m.mu.Unlock()
--- a/internal/test/world/world.go
+++ b/internal/test/world/world.go
@@ -18,6 +18,7 @@
 	"time"
 
 	"github.com/chestnutpond/chestnutpond"
+	"github.com/chestnutpond/chestnutpond/internal/core/plan"
 	"github.com/chestnutpond/chestnutpond/internal/node/fleet"
 	"github.com/chestnutpond/chestnutpond/internal/obs/slogs"
 	"github.com/chestnutpond/chestnutpond/internal/test/stand"
@@ -59,6 +60,10 @@
 	Out io.Writer
 	// MaxRecord bounds a record of the store in bytes; zero means that of the platform.
 	MaxRecord int
+	// Policy switches parts of the leaders' planners.
+	Policy plan.Policy
+	// Admission makes entries reject jobs that could not end in time.
+	Admission bool
 	// Wall is the entries' time of day; nil means that of the machine.
 	Wall func() time.Time
 }
@@ -156,41 +161,6 @@
 	return w
 }
 
-// documents are kept by version; their records hold only the version.
-func (w *World) parse(key string, _ []byte) (chestnutpond.Document, bool, error) {
-	return w.cfg.Document, key == "document", nil
-}
-
-// Publish puts a document into the store.
-func (w *World) Publish(d chestnutpond.Document) {
-	w.cfg.Document = d
-	way := &stand.StoreCaller{Store: w.Store}
-	_, err := way.Append(w.ctx, chestnutpond.TopicDesired, chestnutpond.KeyedAppend{
-		Records: []chestnutpond.KeyedRecord{{Key: "document", Value: []byte{byte(d.Version)}}},
-	})
-	if err != nil {
-		panic(err)
-	}
-}
-
-// evacuationPrefix precedes the zone in the key of a request for an evacuation.
-const evacuationPrefix = "evacuate-"
-
-// SetEvacuated requests the evacuation of a zone, or takes the request back.
-func (w *World) SetEvacuated(zone string, on bool) {
-	var value []byte
-	if on {
-		value = []byte("{}")
-	}
-	way := &stand.StoreCaller{Store: w.Store}
-	_, err := way.Append(w.ctx, chestnutpond.TopicDesired, chestnutpond.KeyedAppend{
-		Records: []chestnutpond.KeyedRecord{{Key: evacuationPrefix + zone, Value: value}},
-	})
-	if err != nil {
-		panic(err)
-	}
-}
-
 func (w *World) base(name string, way *stand.StoreCaller, listener net.Listener) fleet.Base {
 	seeds := []string{}
 	for i := range w.cfg.Entries {
@@ -215,6 +185,8 @@
 		ParseEvacuation: func(key string) (string, bool) { return strings.CutPrefix(key, evacuationPrefix) },
 		EvacuationDelay: w.cfg.EvacuationDelay,
 		MaxRecord:       w.cfg.MaxRecord, Retention: 2 * time.Minute, RemoteSlowdown: 3, RestoreTime: 100 * time.Millisecond, Adviser: w.cfg.Adviser,
+		Policy:    w.cfg.Policy,
+		Admission: w.cfg.Admission,
 	})
 	done := make(chan struct{})
 	e.node, e.stop, e.done = node, stop, done
@@ -237,11 +209,13 @@
 // Kill ends the process at once; others see their connections closed.
 func (e *Entry) Kill() {
 	e.mu.Lock()
-	defer e.mu.Unlock()
-	e.stop()
-	e.world.net.reset(e.Name)
-	<-e.done
 	e.node = nil
+	stop, done := e.stop, e.done
+	// A goroutine that waits for the lock would keep virtual time from passing.
+	e.mu.Unlock()
+	stop()
+	e.world.net.reset(e.Name)
+	<-done
 }
 
 // Node returns the process.
@@ -288,11 +262,12 @@
 // Kill ends the agent's process; the worker goes on.
 func (a *Agent) Kill() {
 	a.mu.Lock()
-	defer a.mu.Unlock()
-	a.stop()
-	a.world.net.reset(a.Name)
-	<-a.done
 	a.node = nil
+	stop, done := a.stop, a.done
+	a.mu.Unlock()
+	stop()
+	a.world.net.reset(a.Name)
+	<-done
 }
 
 // CutOff holds up everything between the agent and the entries.
@@ -321,7 +296,12 @@
 	if node == nil || quiet {
 		return false
 	}
-	return node.Reports().HandleReport(a.world.ctx, a.Worker.Info())
+	info := a.Worker.Info()
+	confirmed := node.Reports().HandleReport(a.world.ctx, info)
+	if confirmed {
+		a.Worker.ConfirmReport(info.Incarnation())
+	}
+	return confirmed
 }
 
 // ReportOf sends a report of another writer to the agent.
--- a/internal/tool/client/client.go
+++ b/internal/tool/client/client.go
@@ -1,5 +1,5 @@
 // Package client is the command line of callers and operators: check, publish,
-// submit, cancel, status, timeline and explain.
+// evacuate, submit, where, cancel, status, timeline and explain.
 //
 // All but check and explain talk to the HTTP server of an entry. Several entries may be
 // given. The next one is tried when a connection fails and nothing was sent,
@@ -27,16 +27,20 @@
 	ExitFailed = 1
 	// ExitRejected is wrong input; nothing ran.
 	ExitRejected = 2
-	// ExitLost means that another publication came first.
+	// ExitLost means that another publication, or another request for the zone, came first.
 	ExitLost = 3
 	// ExitUnknown means that the command may have taken effect.
 	ExitUnknown = 4
 	// ExitNotRun means that the system refused for now; nothing ran.
 	ExitNotRun = 5
+	// ExitWaits means that a job would wait if it were submitted.
+	ExitWaits = 6
+	// ExitNever means that a job could never run on the workers that are known.
+	ExitNever = 7
 )
 
 const exitCodes = `Exit codes: 0 done; 1 wrong command line or no entry reached, nothing ran;
-2 rejected, nothing ran; 3 lost to another publication; 4 unknown, it may have
+2 rejected, nothing ran; 3 lost to another operator's; 4 unknown, it may have
 taken effect; 5 not run, may be repeated later.`
 
 const (
@@ -61,7 +65,9 @@
 	return []*cli.Command{
 		checkCommand(),
 		publishCommand(),
+		evacuateCommand(),
 		submitCommand(),
+		whereCommand(),
 		cancelCommand(),
 		statusCommand(),
 		timelineCommand(),
--- a/internal/tool/client/status.go
+++ b/internal/tool/client/status.go
@@ -44,6 +44,8 @@
 	Jobs          []job           `json:"jobs"`
 	Upstreams     []upstreamState `json:"upstreams"`
 	Entries       []entryState    `json:"entries"`
+	// Evacuations are the zones under evacuation.
+	Evacuations []evacuationState `json:"evacuations"`
 }
 
 type logState struct {
@@ -80,6 +82,16 @@
 	Free         value  `json:"free"`
 }
 
+type evacuationState struct {
+	Zone      string   `json:"zone"`
+	Since     value    `json:"since"`
+	Offset    value    `json:"offset"`
+	Operator  string   `json:"operator"`
+	Jobs      value    `json:"jobs"`
+	Requests  value    `json:"requests"`
+	Uncovered []string `json:"uncovered"`
+}
+
 type entryState struct {
 	Name   string `json:"name"`
 	Region string `json:"region"`
@@ -144,7 +156,7 @@
 	var jobs []job
 	for _, id := range cmd.Args().Slice() {
 		var one job
-		if err := s.get(ctx, "/v1/jobs/"+url.PathEscape(id), nil, &one); err != nil {
+		if err := s.get(ctx, "/v1/jobs/"+url.PathEscape(id), url.Values{"cause": {"true"}}, &one); err != nil {
 			return err
 		}
 		jobs = append(jobs, one)
@@ -157,7 +169,12 @@
 
 // get fetches a JSON body; with the output json it also prints it.
 func (s *session) get(ctx context.Context, path string, query url.Values, into any) error {
-	r, err := s.api.do(ctx, call{method: http.MethodGet, path: path, query: query, repeatable: true})
+	return s.ask(ctx, call{method: http.MethodGet, path: path, query: query, repeatable: true}, into)
+}
+
+// ask makes a call that changes nothing, as get does.
+func (s *session) ask(ctx context.Context, question call, into any) error {
+	r, err := s.api.do(ctx, question)
 	if err != nil {
 		return failf(ExitFailed, "%s: %v", s.cmd.Name, err)
 	}
@@ -208,6 +225,10 @@
 		u := all.Upstreams[i]
 		return row(u.Name, u.Region, u.Zone, u.Rack, u.State, string(u.Slots), string(u.Busy), string(u.Accelerators), string(u.Free))
 	})
+	s.table("EVACUATED ZONE\tSINCE\tOFFSET\tOPERATOR\tJOBS THERE\tREQUESTS THERE\tGUARANTEES THAT DO NOT FIT", len(all.Evacuations), func(i int) string {
+		e := all.Evacuations[i]
+		return row(e.Zone, string(e.Since), string(e.Offset), e.Operator, string(e.Jobs), string(e.Requests), strings.Join(e.Uncovered, ","))
+	})
 	s.table("ENTRY\tREGION\tZONE", len(all.Entries), func(i int) string {
 		e := all.Entries[i]
 		return row(e.Name, e.Region, e.Zone)
--- a/internal/tool/launch/fleet.go
+++ b/internal/tool/launch/fleet.go
@@ -15,6 +15,7 @@
 	"github.com/oklog/run"
 	"github.com/urfave/cli/v3"
 
+	"github.com/chestnutpond/chestnutpond/internal/core/plan"
 	"github.com/chestnutpond/chestnutpond/internal/node/fleet"
 	"github.com/chestnutpond/chestnutpond/internal/node/rest"
 	"github.com/chestnutpond/chestnutpond/internal/node/roster"
@@ -57,8 +58,10 @@
 	return []*cli.Command{
 		{
 			Name: "fleet-entry", Usage: "run the process on an entry host of the platform",
-			Flags:  []cli.Flag{settings},
-			Action: func(ctx context.Context, c *cli.Command) error { return runFleetEntry(ctx, c.String("settings")) },
+			Flags: append([]cli.Flag{settings}, policyFlags()...),
+			Action: func(ctx context.Context, c *cli.Command) error {
+				return runFleetEntry(ctx, c.String("settings"), policyOf(c), c.Bool(flagAdmission))
+			},
 		},
 		{
 			Name: "fleet-agent", Usage: "run the process beside a worker of the platform",
@@ -183,7 +186,7 @@
 	})
 }
 
-func runFleetEntry(ctx context.Context, path string) error {
+func runFleetEntry(ctx context.Context, path string, policy plan.Policy, admission bool) error {
 	p, err := newOnPlatform(path)
 	if err != nil {
 		return err
@@ -194,6 +197,7 @@
 		Base: p.base, ParseDocument: platform.ParseDesired, Wall: time.Now,
 		ParseEvacuation: platform.ParseEvacuation, EvacuationDelay: s.EvacuationDelay,
 		MaxRecord: s.MaxRecord, Retention: s.Retention, RemoteSlowdown: s.RemoteSlowdown, RestoreTime: s.RestoreTime,
+		Policy: policy, Admission: admission,
 	}
 	if s.Advice != "" {
 		c.Adviser = platform.NewAdviser(s.Advice)
@@ -204,7 +208,7 @@
 	var g run.Group
 	addLoop(ctx, &g, e.Run)
 	addLoop(ctx, &g, func(ctx context.Context) error { return p.reload(ctx, e.Roster()) })
-	p.addMetrics(&g, rest.New(rest.Config{Name: s.Name, Intake: e.Intake(), Inspector: e.Inspector()}))
+	p.addMetrics(&g, rest.New(rest.Config{Name: s.Name, Intake: e.Intake(), Inspector: e.Inspector(), Forecaster: e.Forecaster()}))
 	addServer(&g, clients)
 	addServer(&g, &http.Server{Addr: s.ReadyAddress, Handler: ingress.ReadyHandler(), ReadHeaderTimeout: headerTimeout})
 	addLoop(ctx, &g, func(ctx context.Context) error { return p.stopEntry(ctx, e, clients) })
