--- a/review/standins2/cases.go
+++ b/review/standins2/cases.go
@@ -317,3 +317,38 @@
 	}
 	return "", nil
 }
+
+// playDoubtWaits has a worker reset its connections for 6.2 s. A job is placed on it at the
+// beginning, which ends the traffic. 1.5 s later the worker says that it drains, and 4.5 s
+// after that it leaves. The job has to be started elsewhere.
+func playDoubtWaits(s *stage, trouble bool) (string, error) {
+	if err := s.begin(kinds()); err != nil {
+		return "", err
+	}
+	job, w := "00000000000000a4", s.workers[0]
+	if trouble {
+		w.setReset(true)
+		time.AfterFunc(6200*time.Millisecond, func() { w.setReset(false) })
+	}
+	st := step{Count: 1, CPU: 1000, MemMB: 1024, GPU: 8, EstimateMs: 2500}
+	if err := s.submit(bulkQueue, job, model{WorkMs: 2500, GPU: 8}, st); err != nil {
+		return "", err
+	}
+	ended := time.Now()
+	s.rec.note("client", "the traffic ends")
+	time.Sleep(1500 * time.Millisecond)
+	ctx := context.Background()
+	w.drain(ctx, 4500*time.Millisecond)
+	time.Sleep(4500 * time.Millisecond)
+	w.leave(ctx)
+	w.end("left")
+	time.Sleep(time.Until(ended.Add(finish)))
+	for time.Since(ended) < finish+idle {
+		if s.runs(job) || s.state(job) == "done" {
+			return "", nil
+		}
+		time.Sleep(100 * time.Millisecond)
+	}
+	return fmt.Sprintf("LOST: job %s has nothing running from %s to %s after the end of the traffic; 10 of 11 workers are idle",
+		job, finish, finish+idle), nil
+}
--- a/review/standins2/main.go
+++ b/review/standins2/main.go
@@ -33,6 +33,7 @@
 	"lost-worker":    playLostWorker,
 	"late-leave":     playLateLeave,
 	"pace-refused":   playPaceRefused,
+	"doubt-waits":    playDoubtWaits,
 	"drain-in-doubt": playDrainInDoubt,
 	"wide-limit":     playWideLimit,
 	"doubt-refused":  playDoubtRefused,
