--- a/review/standins2/cases.go
+++ b/review/standins2/cases.go
@@ -352,3 +352,69 @@
 	return fmt.Sprintf("LOST: job %s has nothing running from %s to %s after the end of the traffic; 10 of 11 workers are idle",
 		job, finish, finish+idle), nil
 }
+
+// storeTime is how long the answers of the slow store take: 60 times the usual.
+const storeTime = 60 * appendTime
+
+// handIn is a client's attempt to hand in a job.
+type handIn struct {
+	stage  *stage
+	key    string
+	entry  int
+	path   string
+	body   any
+	status int
+	done   chan struct{}
+}
+
+func (h *handIn) run() {
+	defer close(h.done)
+	status, _, err := h.stage.callAs(h.key, h.entry, http.MethodPost, h.path, h.body)
+	h.stage.rec.note("client", "POST %s with key %.4s.. -> %d %v", h.path, h.key, status, err)
+	h.status = status
+}
+
+// playSameID has two tenants hand in jobs under one id, 50 ms apart at two entries, while the
+// store is slow; six times, with an id of their own for each pair of entries. Whichever job is
+// accepted has to be known to its tenant.
+func playSameID(s *stage, trouble bool) (string, error) {
+	if err := s.begin(kinds()); err != nil {
+		return "", err
+	}
+	if trouble {
+		s.rec.note("store", "its answers take %s longer for 4.5 s", storeTime)
+		s.store.setSlow(storeTime)
+		time.AfterFunc(4500*time.Millisecond, func() { s.store.setSlow(0) })
+		time.Sleep(time.Second)
+	}
+	st := step{Count: 1, CPU: 1000, MemMB: 1024, GPU: 1, EstimateMs: 1000}
+	body := map[string]any{"spec": `{"work_ms":1000,"gpu":1}`, "steps": []step{st}}
+	var calls []*handIn
+	for n, pair := range [][2]int{{0, 1}, {1, 2}, {2, 0}, {1, 0}, {2, 1}, {0, 2}} {
+		path := fmt.Sprintf("%s%016x", bulkQueue, 0xa50+n)
+		for i, key := range []string{apiKey, otherKey} {
+			h := &handIn{stage: s, key: key, entry: pair[i], path: path, body: body, done: make(chan struct{})}
+			calls = append(calls, h)
+			go h.run()
+			time.Sleep(50 * time.Millisecond)
+		}
+		time.Sleep(400 * time.Millisecond)
+	}
+	for _, h := range calls {
+		<-h.done
+	}
+	time.Sleep(finish)
+	for _, h := range calls {
+		if h.status != http.StatusOK {
+			continue
+		}
+		for entry := range s.entries {
+			status, state, err := s.callAs(h.key, entry, http.MethodGet, h.path, nil)
+			s.rec.note("client", "GET %s with key %.4s.. at entry %d -> %d %s %v", h.path, h.key, entry, status, state, err)
+			if status == http.StatusGone {
+				return fmt.Sprintf("LOST: the job %s of the tenant with key %.4s.. was accepted, and is answered 410 %s later", h.path, h.key, finish), nil
+			}
+		}
+	}
+	return "", nil
+}
--- a/review/standins2/client.go
+++ b/review/standins2/client.go
@@ -27,8 +27,13 @@
 	AntiAffinity int64  `json:"anti_affinity,omitempty"`
 }
 
-// call makes a client's call to an entry.
+// call makes a call of the first tenant's client to an entry.
 func (s *stage) call(entry int, method, path string, body any) (int, string, error) {
+	return s.callAs(apiKey, entry, method, path, body)
+}
+
+// callAs makes a client's call with a key.
+func (s *stage) callAs(key string, entry int, method, path string, body any) (int, string, error) {
 	ctx, cancel := context.WithTimeout(context.Background(), callTimeout)
 	defer cancel()
 	var data []byte
@@ -44,7 +49,7 @@
 		return 0, "", err
 	}
 	req.Host = routeHost
-	req.Header.Set("Authorization", "Bearer "+apiKey)
+	req.Header.Set("Authorization", "Bearer "+key)
 	req.Header.Set("Content-Type", "application/json")
 	req.Header.Set("X-Deadline-Ms", fmt.Sprint(callTimeout.Milliseconds()))
 	resp, err := http.DefaultClient.Do(req)
--- a/review/standins2/main.go
+++ b/review/standins2/main.go
@@ -33,6 +33,7 @@
 	"lost-worker":    playLostWorker,
 	"late-leave":     playLateLeave,
 	"pace-refused":   playPaceRefused,
+	"same-id":        playSameID,
 	"doubt-waits":    playDoubtWaits,
 	"drain-in-doubt": playDrainInDoubt,
 	"wide-limit":     playWideLimit,
--- a/review/standins2/store.go
+++ b/review/standins2/store.go
@@ -24,6 +24,8 @@
 	topics map[string]*topic
 	// appended is closed and replaced with each append.
 	appended chan struct{}
+	// slow is how much longer than usual the store takes for an answer.
+	slow time.Duration
 }
 
 type topic struct {
@@ -47,12 +49,30 @@
 
 func (s *store) handler() http.Handler {
 	mux := http.NewServeMux()
-	mux.HandleFunc("POST /v1/log-append", s.handleAppend)
-	mux.HandleFunc("GET /v1/log-read", s.handleRead)
-	mux.HandleFunc("GET /v1/log-newest", s.handleNewest)
+	mux.HandleFunc("POST /v1/log-append", s.slowed(s.handleAppend))
+	mux.HandleFunc("GET /v1/log-read", s.slowed(s.handleRead))
+	mux.HandleFunc("GET /v1/log-newest", s.slowed(s.handleNewest))
 	return mux
 }
 
+// slowed delays the answers of a handler while the store is slow.
+func (s *store) slowed(handle http.HandlerFunc) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		s.mu.Lock()
+		slow := s.slow
+		s.mu.Unlock()
+		time.Sleep(slow)
+		handle(w, r)
+	}
+}
+
+// setSlow has the store take longer for each answer; zero ends that.
+func (s *store) setSlow(by time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.slow = by
+}
+
 // topic returns a topic, which is created on first use. The lock is held.
 func (s *store) topic(name string) *topic {
 	t := s.topics[name]
--- a/review/standins2/system.go
+++ b/review/standins2/system.go
@@ -22,6 +22,8 @@
 	routeHost   = "nony24.example"
 	apiKey      = "d4a3hwrr6x73d3zji9n7"
 	tenantName  = "kaje80"
+	otherKey    = "3hh2b9wu3fexd9dnn2ct"
+	otherTenant = "lomi31"
 )
 
 // queues of the desired state, by their path prefixes.
@@ -184,8 +186,11 @@
 			"name": serviceName, "health_path": "/health", "max_conns": 64, "protocol": "h1", "tls": false,
 			"rejects_overload": true, "standby": false,
 		}},
-		"limits":  map[string]any{"max_header_bytes": 16384, "max_body_bytes": 262144, "header_timeout_ms": 3000, "idle_timeout_ms": 15000},
-		"tenants": []any{map[string]any{"name": tenantName, "api_keys": []string{apiKey}, "guaranteed": map[string]any{"gpu": 24}}},
+		"limits": map[string]any{"max_header_bytes": 16384, "max_body_bytes": 262144, "header_timeout_ms": 3000, "idle_timeout_ms": 15000},
+		"tenants": []any{
+			map[string]any{"name": tenantName, "api_keys": []string{apiKey}, "guaranteed": map[string]any{"gpu": 24}},
+			map[string]any{"name": otherTenant, "api_keys": []string{otherKey}, "guaranteed": map[string]any{"gpu": 8}},
+		},
 	})
 	if err != nil {
 		return nil
