runner: a call that was not sent renews no lease

Cause: each attempt of a start moved the bound on the worker's lease before the call was made, also if the connection was refused. The attempts are repeated until the order is withdrawn, the leader withdraws it once the lease is over, and so the lease was never over. A worker that hangs had the same effect.

Evidence: the agent logs "start order was not answered ... not sent ... connection refused" every 20 ms, and never that the lease is over.

Change: TaskRunner returns a NotSentError if the worker cannot have received the call. Such a call renews no lease and leaves no doubt whether the run was started; a renewal in progress counts until its result is known. Nothing is started on a worker that is silent for longer than its lease is renewed.

Ruled out: the leader's own expiry, which goes by the agent's word while it reports, and the renewals by Renew, which stop with the first failed call.

--- a/errors.go
+++ b/errors.go
@@ -50,7 +50,8 @@
 	return fmt.Sprintf("task %s does not run", e.ID)
 }
 
-// NotSentError means that no byte of a call reached the upstream.
+// NotSentError means that no byte of a call reached its recipient, so it was not executed and
+// never will be.
 type NotSentError struct {
 	Err error
 }
--- a/fleet.go
+++ b/fleet.go
@@ -211,8 +211,8 @@
 }
 
 // TaskRunner executes orders on the worker beside an agent. After an error that is
-// not a *RefusedError the order may have been executed, or may still be. Each
-// method returns the worker's clock.
+// neither a *RefusedError nor a *NotSentError the order may have been executed, or may
+// still be. Each method returns the worker's clock.
 type TaskRunner interface {
 	Start(ctx context.Context, o StartOrder) (time.Duration, error)
 	Stop(ctx context.Context, o StopOrder) (time.Duration, error)
--- a/internal/node/runner/lease.go
+++ b/internal/node/runner/lease.go
@@ -49,6 +49,7 @@
 	ctx, cancel := context.WithTimeout(ctx, order.Wait+holdTimeoutMargin)
 	defer cancel()
 	lists, err := a.cfg.Runner.Renew(ctx, order)
+	a.finishRenewal(call.life, call.renewal, err)
 	if err != nil {
 		a.holdFailed(err)
 		return false
@@ -64,6 +65,8 @@
 	number int64
 	fence  int64
 	life   chestnutpond.WorkerIncarnation
+	// renewal is zero if the call renews no lease.
+	renewal renewal
 }
 
 // nextHold returns the next Renew call; false while there are no orders for the
@@ -78,12 +81,13 @@
 	o := chestnutpond.RenewOrder{
 		Fence: a.orders.fence, Acknowledged: a.orders.acknowledged, Worker: a.worker.ID, Wait: holdWait,
 	}
-	silent := a.lists.unansweredSince > 0 && now-a.lists.unansweredSince > workerTimeout
+	silent := a.silent(now)
 	if !a.lists.hasClock || a.lists.fence != a.orders.fence || silent || a.departingSince > 0 {
 		// The run lists are needed now, so the worker should not wait for a run to
 		// end.
 		o.Wait = 0
 	}
+	renewal := renewal(0)
 	if a.lifeUnverified {
 		// Another incarnation of the worker may answer under the same id. The lease
 		// and the acknowledgements are meant for the former one, so they are
@@ -91,13 +95,13 @@
 		o.Wait, o.Acknowledged = 0, 0
 	} else if end, may := a.renewalEnd(now); may && a.lists.hasClock && !silent {
 		o.Until = a.onWorkerClock(end)
-		a.recordRenewal(end)
+		renewal = a.lease.begin(end)
 	}
 	if a.lists.unansweredSince == 0 {
 		a.lists.unansweredSince = now
 	}
 	a.holdCalls++
-	return o, holdCall{number: a.holdCalls, fence: o.Fence, life: a.worker.Incarnation()}, true
+	return o, holdCall{number: a.holdCalls, fence: o.Fence, life: a.worker.Incarnation(), renewal: renewal}, true
 }
 
 // holdFailed records a Renew call that returned no run lists.
--- a/internal/node/runner/metrics.go
+++ b/internal/node/runner/metrics.go
@@ -38,8 +38,11 @@
 // noAnswer is the result of an order that may still be carried out.
 const noAnswer = "no_answer"
 
-// countOrder counts an order by its result: "ok", the reason of a refusal, or
-// noAnswer.
+// notSent is the result of an order that the worker cannot have received.
+const notSent = "not_sent"
+
+// countOrder counts an order by its result: "ok", the reason of a refusal, noAnswer or
+// notSent.
 func (m *meters) countOrder(o orderKind, result string) {
 	m.registry.Counter("agent_orders_total", "Orders to the worker by kind and result.",
 		stats.Label{Name: "order", Value: string(o)}, stats.Label{Name: "result", Value: result}).Inc(1)
--- a/internal/node/runner/orders.go
+++ b/internal/node/runner/orders.go
@@ -103,42 +103,55 @@
 	}
 }
 
+// startCall is a call that starts a run.
+type startCall struct {
+	order   chestnutpond.StartOrder
+	renewal renewal
+}
+
 // run repeats the call until the worker answers it or the order is withdrawn.
 func (s *startOrder) run(ctx context.Context) {
-	a := s.agent
 	defer s.markDone()
 	for ctx.Err() == nil {
-		order, may, wanted := s.nextCall()
-		if !wanted {
+		call, may, wanted := s.nextCall()
+		if !wanted || may && s.attempt(ctx, call) {
 			return
 		}
-		if may {
-			cctx, cancel := context.WithTimeout(ctx, orderTimeout)
-			_, err := a.cfg.Runner.Start(cctx, order)
-			cancel()
-			var refused *chestnutpond.RefusedError
-			switch {
-			case err == nil:
-				a.meters.countOrder(orderStart, "ok")
-				a.cfg.Log.Info("run started", "task", s.key.task.String(), "run", s.key.run, "worker", s.life.ID)
-				return
-			case errors.As(err, &refused) && refused.Refusal != chestnutpond.RefusedExpired:
-				s.handleRefusal(ctx, refused.Refusal)
-				return
-			case errors.As(err, &refused):
-				// The worker's clock is ahead of its last known reading; the next
-				// run lists bring a new one.
-			default:
-				s.inDoubt = true
-				a.meters.countOrder(orderStart, noAnswer)
-				a.addDoubt(s.key)
-				a.cfg.Log.Warn("start order was not answered", "task", s.key.task.String(), "run", s.key.run, "error", err)
-			}
-		}
 		sleep(ctx, orderRetryDelay)
 	}
 }
 
+// attempt makes one call, and reports whether the worker has answered the order.
+func (s *startOrder) attempt(ctx context.Context, call startCall) bool {
+	a := s.agent
+	cctx, cancel := context.WithTimeout(ctx, orderTimeout)
+	_, err := a.cfg.Runner.Start(cctx, call.order)
+	cancel()
+	a.finishRenewal(s.life, call.renewal, err)
+	var refused *chestnutpond.RefusedError
+	switch {
+	case err == nil:
+		a.meters.countOrder(orderStart, "ok")
+		a.cfg.Log.Info("run started", "task", s.key.task.String(), "run", s.key.run, "worker", s.life.ID)
+		return true
+	case errors.As(err, &refused) && refused.Refusal != chestnutpond.RefusedExpired:
+		s.handleRefusal(ctx, refused.Refusal)
+		return true
+	case errors.As(err, &refused):
+		// The worker's clock is ahead of its last known reading; the next run lists
+		// bring a new one.
+	case isNotSent(err):
+		a.meters.countOrder(orderStart, notSent)
+		a.cfg.Log.Warn("start order was not sent", "task", s.key.task.String(), "run", s.key.run, "error", err)
+	default:
+		s.inDoubt = true
+		a.meters.countOrder(orderStart, noAnswer)
+		a.addDoubt(s.key)
+		a.cfg.Log.Warn("start order was not answered", "task", s.key.task.String(), "run", s.key.run, "error", err)
+	}
+	return false
+}
+
 // addDoubt records a start call that was not answered and may be carried out later.
 func (a *Agent) addDoubt(key runKey) {
 	a.mu.Lock()
@@ -155,27 +168,27 @@
 
 // nextCall returns the call to make, whether the lease allows it now, and whether
 // the run is still wanted.
-func (s *startOrder) nextCall() (chestnutpond.StartOrder, bool, bool) {
+func (s *startOrder) nextCall() (startCall, bool, bool) {
 	a := s.agent
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	if a.starts[s.key] != s || a.orders.starts[s.key] == nil || a.lapsed[s.key] {
-		return chestnutpond.StartOrder{}, false, false
+		return startCall{}, false, false
 	}
 	if a.worker.State == chestnutpond.WorkerDraining && !s.inDoubt {
 		s.outcome = outcome{reason: chestnutpond.RefusedUnhealthy, afterCall: a.holdCalls}
-		return chestnutpond.StartOrder{}, false, false
+		return startCall{}, false, false
 	}
 	now := a.cfg.Now()
 	end, may := a.renewalEnd(now)
-	if !may || !a.lists.hasClock || a.lists.fence != a.orders.fence {
-		return chestnutpond.StartOrder{}, false, true
+	if !may || !a.lists.hasClock || a.lists.fence != a.orders.fence || a.silent(now) {
+		return startCall{}, false, true
 	}
-	a.recordRenewal(end)
-	return chestnutpond.StartOrder{
+	order := chestnutpond.StartOrder{
 		Task: s.key.task, Run: s.key.run, Payload: s.row.GetPayload(), Checkpoint: s.row.GetCheckpoint(),
 		Ticket: s.row.GetTicket(), Until: a.onWorkerClock(end), Fence: a.orders.fence, Worker: s.life.ID,
-	}, true, true
+	}
+	return startCall{order: order, renewal: a.lease.begin(end)}, true, true
 }
 
 // handleRefusal records a refusal once no earlier call can take effect.
--- a/internal/node/runner/runner.go
+++ b/internal/node/runner/runner.go
@@ -106,8 +106,8 @@
 	lists   lists
 	// grantEnd is the time until which the worker's lease may be renewed.
 	grantEnd time.Duration
-	// leaseEnd is the time at which the last renewed lease has certainly expired.
-	leaseEnd time.Duration
+	// lease bounds the lease of this incarnation of the worker.
+	lease *leaseBound
 	// epoch and leader are the newest that any entry has reported.
 	epoch  int64
 	leader *inner.EntryRow
@@ -173,10 +173,10 @@
 // New returns an agent.
 func New(c Config) *Agent {
 	a := &Agent{
-		cfg:      c,
-		meters:   newMeters(c.Metrics),
-		leaseEnd: c.Now() + c.Lease + leaseMargin,
-		starts:   map[runKey]*startOrder{}, stops: map[runKey]*stopOrder{}, doubts: map[runKey]time.Duration{},
+		cfg:    c,
+		meters: newMeters(c.Metrics),
+		lease:  newLeaseBound(c.Now() + c.Lease + leaseMargin),
+		starts: map[runKey]*startOrder{}, stops: map[runKey]*stopOrder{}, doubts: map[runKey]time.Duration{},
 		lapsed: map[runKey]bool{}, appliedPaces: map[runKey]int{},
 		changed: make(chan struct{}), ordersChanged: make(chan struct{}, 1), identifying: make(chan struct{}, 1),
 	}
@@ -191,7 +191,7 @@
 	a.lists = lists{}
 	a.starts, a.stops = map[runKey]*startOrder{}, map[runKey]*stopOrder{}
 	a.lapsed, a.appliedPaces = map[runKey]bool{}, map[runKey]int{}
-	a.leaseEnd = a.cfg.Now() + a.cfg.Lease + leaseMargin
+	a.lease = newLeaseBound(a.cfg.Now() + a.cfg.Lease + leaseMargin)
 	if a.orders.life != info.Incarnation() {
 		a.orders = orders{epoch: a.orders.epoch}
 	}
@@ -248,7 +248,13 @@
 // leaseOver reports whether the worker does not answer and its lease has expired. The
 // lock is held.
 func (a *Agent) leaseOver(now time.Duration) bool {
-	return a.lists.unansweredSince > 0 && now-a.lists.unansweredSince > workerTimeout && now > a.leaseEnd
+	return a.silent(now) && now > a.lease.expiry()
+}
+
+// silent reports whether the worker has not answered for so long that its lease is no longer
+// renewed. The lock is held.
+func (a *Agent) silent(now time.Duration) bool {
+	return a.lists.unansweredSince > 0 && now-a.lists.unansweredSince > workerTimeout
 }
 
 // checkLease marks the runs as lapsed if the worker does not answer and its lease
@@ -280,8 +286,11 @@
 	}
 }
 
-// recordRenewal records that a lease until the given time is about to be renewed.
-// The lock is held.
-func (a *Agent) recordRenewal(end time.Duration) {
-	a.leaseEnd = max(a.leaseEnd, end+leaseMargin)
+// finishRenewal records the result of a call that renewed the lease of the given incarnation.
+func (a *Agent) finishRenewal(life chestnutpond.WorkerIncarnation, r renewal, err error) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if life == a.worker.Incarnation() {
+		a.lease.finish(r, err)
+	}
 }
--- a/internal/test/stand/taskworker.go
+++ b/internal/test/stand/taskworker.go
@@ -226,7 +226,7 @@
 	mute, gone, starting := w.mute, w.gone, w.restarted && time.Since(w.began) < restartTime
 	w.cfg.Fleet.mu.Unlock()
 	if gone {
-		return syscall.ECONNREFUSED
+		return &chestnutpond.NotSentError{Err: syscall.ECONNREFUSED}
 	}
 	if starting {
 		return errRestarted
