runner: runs that are to be stopped lapse with the lease

What callers saw: a gang with one member on a lost worker was stopped and never ran again, although most of the room was free.

Cause: the agent reported as lapsed the runs that it was to start and those that the worker had listed. A run that was never listed and was to be stopped is neither, its stop can't be confirmed, and the leader waits for it.

Change: the runs that the leader orders to stop lapse with the lease of a silent worker. The calls end once the run has lapsed or the order is withdrawn; they used to go on for as long as the agent lived.

--- a/internal/node/runner/orders.go
+++ b/internal/node/runner/orders.go
@@ -69,6 +69,22 @@
 // reasonStopped is the reason reported for runs that were stopped by an order.
 const reasonStopped = chestnutpond.Refusal("stopped")
 
+// orderExecutor carries out the orders of the leader.
+type orderExecutor struct {
+	agent *Agent
+}
+
+func (o *orderExecutor) loop(ctx context.Context) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-o.agent.ordersChanged:
+			o.agent.reconcileOrders(ctx)
+		}
+	}
+}
+
 // reconcileOrders begins to carry out new orders, and removes finished ones that
 // the leader no longer lists.
 func (a *Agent) reconcileOrders(ctx context.Context) {
@@ -95,7 +111,7 @@
 		}
 	}
 	for key := range a.orders.stops {
-		if a.stops[key] == nil {
+		if a.stops[key] == nil && !a.lapsed[key] {
 			s := &stopOrder{agent: a, key: key, life: a.worker.Incarnation()}
 			a.stops[key] = s
 			go s.run(ctx)
@@ -216,7 +232,7 @@
 	s.done = true
 }
 
-// run repeats the call until the worker answers it.
+// run repeats the call until the worker answers it or the order is withdrawn.
 func (s *stopOrder) run(ctx context.Context) {
 	a := s.agent
 	confirmed := a.stopRun(ctx, s.key, s.life)
@@ -228,13 +244,14 @@
 	}
 }
 
-// stopRun stops a run and reports whether the worker confirmed it.
+// stopRun stops a run and reports whether the worker confirmed it. It gives up once the leader
+// has withdrawn its orders for the run.
 func (a *Agent) stopRun(ctx context.Context, key runKey, life chestnutpond.WorkerIncarnation) bool {
 	for ctx.Err() == nil {
 		a.mu.Lock()
-		fence, current := a.orders.fence, a.worker.Incarnation() == life
+		fence, wanted := a.orders.fence, a.worker.Incarnation() == life && a.mayExist(key)
 		a.mu.Unlock()
-		if !current {
+		if !wanted {
 			return false
 		}
 		cctx, cancel := context.WithTimeout(ctx, orderTimeout)
@@ -254,6 +271,12 @@
 	return false
 }
 
+// mayExist reports whether the leader's orders name the run and its lease has not expired. The
+// lock is held.
+func (a *Agent) mayExist(key runKey) bool {
+	return (a.orders.starts[key] != nil || a.orders.stops[key]) && !a.lapsed[key]
+}
+
 func sleep(ctx context.Context, d time.Duration) {
 	select {
 	case <-ctx.Done():
--- /dev/null
+++ b/internal/node/runner/orders_test.go
@@ -0,0 +1,162 @@
+package runner
+
+import (
+	"context"
+	"log/slog"
+	"sync"
+	"syscall"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/chestnutpond/chestnutpond"
+	"github.com/chestnutpond/chestnutpond/internal/obs/stats"
+	"github.com/chestnutpond/chestnutpond/internal/wire/inner"
+)
+
+var (
+	errNotSent = &chestnutpond.NotSentError{Err: syscall.ECONNREFUSED}
+	testLife   = chestnutpond.WorkerIncarnation{ID: "worker-1", StartedMs: 7}
+	testRun    = runKey{chestnutpond.TaskRef{Job: "00000000000000a1"}, 1}
+)
+
+const (
+	testLease = 6 * time.Second
+	testFence = 4096
+)
+
+// scriptedWorker answers each kind of call with an error that can be changed.
+type scriptedWorker struct {
+	mu                                sync.Mutex
+	startErr, stopErr, renewErr       error
+	startCalls, stopCalls, renewCalls int
+	lastStart                         time.Time
+	running                           []chestnutpond.RunStatus
+	paceErr                           error
+}
+
+func (w *scriptedWorker) set(change func(w *scriptedWorker)) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	change(w)
+}
+
+func (w *scriptedWorker) Start(context.Context, chestnutpond.StartOrder) (time.Duration, error) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.startCalls++
+	w.lastStart = time.Now()
+	return 0, w.startErr
+}
+
+func (w *scriptedWorker) Stop(context.Context, chestnutpond.StopOrder) (time.Duration, error) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.stopCalls++
+	return 0, w.stopErr
+}
+
+func (w *scriptedWorker) Pace(context.Context, chestnutpond.PaceOrder) (time.Duration, error) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return 0, w.paceErr
+}
+
+func (w *scriptedWorker) Renew(_ context.Context, o chestnutpond.RenewOrder) (chestnutpond.RunList, error) {
+	w.mu.Lock()
+	w.renewCalls++
+	err, running := w.renewErr, w.running
+	w.mu.Unlock()
+	if err != nil {
+		return chestnutpond.RunList{}, err
+	}
+	time.Sleep(o.Wait)
+	return chestnutpond.RunList{Clock: time.Hour, StartedMs: testLife.StartedMs, Running: running}, nil
+}
+
+// playOrders runs an agent beside a scripted worker in virtual time, with orders of a leader
+// that grants leases without a pause.
+func playOrders(t *testing.T, test func(t *testing.T, a *Agent, w *scriptedWorker)) {
+	t.Helper()
+	synctest.Test(t, func(t *testing.T) {
+		ctx, stop := context.WithCancel(t.Context())
+		began := time.Now()
+		w := &scriptedWorker{}
+		a := New(Config{
+			Runner: w, Now: func() time.Duration { return time.Hour + time.Since(began) }, Lease: testLease,
+			Log: slog.New(slog.DiscardHandler), Metrics: stats.New(),
+		})
+		a.reported, a.described = true, true
+		a.worker = chestnutpond.WorkerInfo{ID: testLife.ID, StartedMs: testLife.StartedMs, State: chestnutpond.WorkerReady}
+		a.order(nil, nil)
+		go (&leaseRenewer{agent: a}).loop(ctx)
+		go (&orderExecutor{agent: a}).loop(ctx)
+		go (&granter{agent: a}).loop(ctx)
+		time.Sleep(time.Second)
+		test(t, a, w)
+		stop()
+		synctest.Wait()
+	})
+}
+
+// granter grants leases as a leader does.
+type granter struct {
+	agent *Agent
+}
+
+func (g *granter) loop(ctx context.Context) {
+	a := g.agent
+	for ctx.Err() == nil {
+		a.mu.Lock()
+		a.grantEnd = a.cfg.Now() + testLease
+		a.mu.Unlock()
+		sleep(ctx, reportInterval)
+	}
+}
+
+// order replaces the orders of the leader.
+func (a *Agent) order(starts, stops []runKey) {
+	message := &inner.WorkerOrders{Worker: testLife.ID, Born: testLife.StartedMs, Epoch: 1, Fence: testFence}
+	for _, key := range starts {
+		message.Starts = append(message.Starts, &inner.StartRow{Task: key.task.String(), Run: key.run})
+	}
+	for _, key := range stops {
+		message.Stops = append(message.Stops, &inner.StopRow{Task: key.task.String(), Run: key.run})
+	}
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.setOrders(message)
+}
+
+// report returns what the agent reports to the leader.
+func (a *Agent) report() *inner.WorkerReport {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	message := &inner.WorkerReport{}
+	a.fillReport(message, a.cfg.Now())
+	return message
+}
+
+// Guards against a run that is never settled because the order to stop it has no outcome on a
+// lost worker, and against stop calls that are repeated after their order was withdrawn.
+func TestStopOnLostWorker(t *testing.T) {
+	playOrders(t, func(t *testing.T, a *Agent, w *scriptedWorker) {
+		w.set(func(w *scriptedWorker) { w.stopErr, w.renewErr = errNotSent, errNotSent })
+		a.order(nil, []runKey{testRun})
+		time.Sleep(testLease / 2)
+		assert.Equal(t, len(a.report().GetLapsed()), 0, "the lease is not over")
+		time.Sleep(testLease)
+		lapsed := a.report().GetLapsed()
+		assert.Equal(t, len(lapsed), 1)
+		assert.Equal(t, lapsed[0].GetTask(), testRun.task.String())
+		a.order(nil, nil)
+		time.Sleep(time.Second)
+		before := 0
+		w.set(func(w *scriptedWorker) { before = w.stopCalls })
+		time.Sleep(time.Minute)
+		w.set(func(w *scriptedWorker) { assert.Equal(t, w.stopCalls, before) })
+		assert.Equal(t, len(a.report().GetLapsed()), 0)
+	})
+}
--- a/internal/node/runner/runner.go
+++ b/internal/node/runner/runner.go
@@ -114,8 +114,8 @@
 	// starts and stops are the orders being carried out.
 	starts map[runKey]*startOrder
 	stops  map[runKey]*stopOrder
-	// lapsed has the runs whose lease has expired. They are not started again, and stay
-	// here until the orders no longer name them.
+	// lapsed has the runs whose lease has expired. They are neither started nor stopped any
+	// more, and stay here until the orders no longer name them.
 	lapsed map[runKey]bool
 	// doubts has when a start call of a run last got no answer. It is kept across
 	// incarnations of the worker, because a later one may carry out such a call.
@@ -221,14 +221,9 @@
 	go m.loop(ctx)
 	p := &pacer{agent: a}
 	go p.loop(ctx)
-	for {
-		select {
-		case <-ctx.Done():
-			return nil
-		case <-a.ordersChanged:
-			a.reconcileOrders(ctx)
-		}
-	}
+	o := &orderExecutor{agent: a}
+	o.loop(ctx)
+	return nil
 }
 
 // renewalEnd returns the time until which the worker's lease may be renewed; false
@@ -258,7 +253,7 @@
 }
 
 // checkLease marks the runs as lapsed if the worker does not answer and its lease
-// has expired. The lock is held.
+// has expired, those to be stopped included. The lock is held.
 func (a *Agent) checkLease(now time.Duration) {
 	if !a.leaseOver(now) {
 		return
@@ -275,6 +270,9 @@
 	for key := range a.starts {
 		lapse(key)
 	}
+	for key := range a.orders.stops {
+		lapse(key)
+	}
 	for _, r := range a.lists.running {
 		lapse(runKey{r.Task, r.Run})
 	}
--- a/internal/test/world/lost_test.go
+++ b/internal/test/world/lost_test.go
@@ -7,6 +7,7 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/chestnutpond/chestnutpond"
+	"github.com/chestnutpond/chestnutpond/internal/test/stand"
 )
 
 const (
@@ -25,6 +26,17 @@
 	a.Worker.Exit()
 }
 
+// Regain starts another incarnation of a lost worker.
+func (a *Agent) Regain() {
+	a.Worker.Restart()
+	a.SetQuiet(false)
+}
+
+// wholeWorkers returns a job of a gang of which each task takes a whole worker.
+func wholeWorkers(count int) chestnutpond.Graph {
+	return chestnutpond.Graph{Payload: "x", Steps: []chestnutpond.Step{{Count: count, Need: wholeWorker, Gang: true}}}
+}
+
 // Guards against the tasks of a lost worker that are never placed elsewhere, because a start
 // order that the worker does not answer is repeated and counts as a renewal of its lease.
 func TestLostWorkerWithStartOnItsWay(t *testing.T) {
@@ -74,3 +86,26 @@
 		})
 	}
 }
+
+// Guards against a gang that never runs again, because the order to stop a member that was
+// never started on a lost worker has no outcome.
+func TestGangWithMemberOnLostWorker(t *testing.T) {
+	const members = 4
+	setUp := func(c *Config) {
+		c.Workers = members + 1
+		c.Model = func(chestnutpond.TaskRef) stand.TaskModel {
+			return stand.TaskModel{Work: 2 * time.Second, Need: wholeWorker, Gang: members}
+		}
+	}
+	playWith(t, 2*time.Second, setUp, func(t *testing.T, w *World) {
+		spare := w.Agents[members]
+		spare.Lose()
+		time.Sleep(2 * time.Second)
+		w.Agents[0].Lose()
+		w.accept(t, w.Entries[0], jobID, wholeWorkers(members))
+		time.Sleep(500 * time.Millisecond)
+		spare.Regain()
+		time.Sleep(4 * time.Second)
+		assert.Assert(t, w.Ended(recoveryTime, jobID, chestnutpond.JobCompleted), "the gang does not run again")
+	})
+}
