runner: an order without effect is begun anew when it is listed again

What callers would see: a run that was ordered is never started, and its job never ends. Found by reading the paths related to the lost worker.

Cause: the agent keeps an order until the leader no longer lists it. A start that was not listed at one of its attempts, or whose fence the worker refused, ended without an outcome and was kept. If the leader listed the run again before the orders were compared, as one that takes over does after it has withheld starts, nothing started it. The same held for stops.

Change: an order that ends without effect and without outcome is removed, so the next orders begin it anew. Whether a start is in doubt is inherited.

Ruled out: a second start of a run that began; a confirmed order is kept.

--- a/internal/node/runner/orders.go
+++ b/internal/node/runner/orders.go
@@ -46,9 +46,9 @@
 	key   runKey
 	row   *inner.StartRow
 	life  chestnutpond.WorkerIncarnation
-	// inDoubt means that a call was not answered. Only the goroutine of run uses
-	// it.
-	inDoubt bool
+	// inDoubt means that a call was not answered, and started that the worker has confirmed
+	// the start. Only the goroutine of run uses them.
+	inDoubt, started bool
 	// outcome is set if the worker will not execute the run. This field and the
 	// next are guarded by the agent's lock.
 	outcome outcome
@@ -105,7 +105,7 @@
 	}
 	for key, row := range a.orders.starts {
 		if a.starts[key] == nil && a.stops[key] == nil && !a.lapsed[key] {
-			s := &startOrder{agent: a, key: key, row: row, life: a.worker.Incarnation()}
+			s := &startOrder{agent: a, key: key, row: row, life: a.worker.Incarnation(), inDoubt: a.inDoubt(key)}
 			a.starts[key] = s
 			go s.run(ctx)
 		}
@@ -127,7 +127,7 @@
 
 // run repeats the call until the worker answers it or the order is withdrawn.
 func (s *startOrder) run(ctx context.Context) {
-	defer s.markDone()
+	defer s.finish()
 	for ctx.Err() == nil {
 		call, may, wanted := s.nextCall()
 		if !wanted || may && s.attempt(ctx, call) {
@@ -147,6 +147,7 @@
 	var refused *chestnutpond.RefusedError
 	switch {
 	case err == nil:
+		s.started = true
 		a.meters.countOrder(orderStart, "ok")
 		a.cfg.Log.Info("run started", "task", s.key.task.String(), "run", s.key.run, "worker", s.life.ID)
 		return true
@@ -182,6 +183,13 @@
 	a.notifyChange()
 }
 
+// inDoubt reports whether an unanswered start call of the run may still be carried out. The
+// lock is held.
+func (a *Agent) inDoubt(key runKey) bool {
+	at, found := a.doubts[key]
+	return found && a.cfg.Now()-at <= maxOrderDelay
+}
+
 // nextCall returns the call to make, whether the lease allows it now, and whether
 // the run is still wanted.
 func (s *startOrder) nextCall() (startCall, bool, bool) {
@@ -225,11 +233,17 @@
 	s.outcome = outcome{reason: why, afterCall: a.holdCalls}
 }
 
-func (s *startOrder) markDone() {
+// finish ends the order. One that had no effect is removed, so that it is carried out anew if
+// the leader lists it again: a new leader may withhold starts for a moment, and a refusal of the
+// fence may be meant for the former one.
+func (s *startOrder) finish() {
 	a := s.agent
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	s.done = true
+	if !s.started && s.outcome.reason == "" && a.starts[s.key] == s {
+		delete(a.starts, s.key)
+	}
 }
 
 // run repeats the call until the worker answers it or the order is withdrawn.
@@ -239,8 +253,12 @@
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	s.done = true
-	if confirmed {
+	switch {
+	case confirmed:
 		s.outcome = outcome{reason: reasonStopped, afterCall: a.holdCalls}
+	case a.stops[s.key] == s:
+		// It is carried out anew if the leader lists it again.
+		delete(a.stops, s.key)
 	}
 }
 
--- a/internal/node/runner/orders_test.go
+++ b/internal/node/runner/orders_test.go
@@ -64,7 +64,7 @@
 	return 0, w.paceErr
 }
 
-func (w *scriptedWorker) Renew(_ context.Context, o chestnutpond.RenewOrder) (chestnutpond.RunList, error) {
+func (w *scriptedWorker) Renew(ctx context.Context, o chestnutpond.RenewOrder) (chestnutpond.RunList, error) {
 	w.mu.Lock()
 	w.renewCalls++
 	err, running := w.renewErr, w.running
@@ -72,7 +72,7 @@
 	if err != nil {
 		return chestnutpond.RunList{}, err
 	}
-	time.Sleep(o.Wait)
+	sleep(ctx, o.Wait)
 	return chestnutpond.RunList{Clock: time.Hour, StartedMs: testLife.StartedMs, Running: running}, nil
 }
 
@@ -94,10 +94,12 @@
 		go (&leaseRenewer{agent: a}).loop(ctx)
 		go (&orderExecutor{agent: a}).loop(ctx)
 		go (&granter{agent: a}).loop(ctx)
+		defer func() {
+			stop()
+			synctest.Wait()
+		}()
 		time.Sleep(time.Second)
 		test(t, a, w)
-		stop()
-		synctest.Wait()
 	})
 }
 
@@ -160,3 +162,51 @@
 		assert.Equal(t, len(a.report().GetLapsed()), 0)
 	})
 }
+
+// Guards against a run that is never started or stopped because its order had no effect when
+// the leader listed it first, and the leader lists it again.
+func TestOrderListedAgain(t *testing.T) {
+	refused := func(r chestnutpond.Refusal) error { return &chestnutpond.RefusedError{Refusal: r} }
+	for name, c := range map[string]struct {
+		startErr, stopErr error
+		starts, stops     []runKey
+		// withdrawn means that the leader does not list the order for a moment.
+		withdrawn bool
+	}{
+		"start not sent, withdrawn":     {startErr: errNotSent, starts: []runKey{testRun}, withdrawn: true},
+		"start not answered, withdrawn": {startErr: context.DeadlineExceeded, starts: []runKey{testRun}, withdrawn: true},
+		"start refused by the fence":    {startErr: refused(chestnutpond.RefusedFence), starts: []runKey{testRun}},
+		"start in doubt, stop withdrawn": {
+			startErr: refused(chestnutpond.RefusedCapacity), stopErr: errNotSent, starts: []runKey{testRun}, withdrawn: true,
+		},
+		"stop withdrawn": {stopErr: errNotSent, stops: []runKey{testRun}, withdrawn: true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			playOrders(t, func(t *testing.T, a *Agent, w *scriptedWorker) {
+				w.set(func(w *scriptedWorker) { w.startErr, w.stopErr = c.startErr, c.stopErr })
+				if c.starts != nil && c.stopErr != nil {
+					a.mu.Lock()
+					a.doubts[testRun] = a.cfg.Now()
+					a.mu.Unlock()
+				}
+				a.order(c.starts, c.stops)
+				time.Sleep(5 * orderRetryDelay)
+				if c.withdrawn {
+					a.order(nil, nil)
+					time.Sleep(2 * orderRetryDelay)
+				}
+				starts, stops := 0, 0
+				w.set(func(w *scriptedWorker) {
+					w.startErr, w.stopErr = nil, nil
+					starts, stops = w.startCalls, w.stopCalls
+				})
+				a.order(c.starts, c.stops)
+				time.Sleep(reportInterval)
+				w.set(func(w *scriptedWorker) {
+					assert.Equal(t, w.startCalls-starts, len(c.starts))
+					assert.Equal(t, w.stopCalls-stops, len(c.stops))
+				})
+			})
+		})
+	}
+}
