runner: send no orders to a worker that accepts no connections

Cause: every order was repeated every 20 ms, the call for the lists every 25 ms, and each failure was a line. The leader took a worker for usable until it had been silent for 1 s.

Change: a call for the lists that is not sent marks the worker as unreachable. The agent says so in its next report, as the flag that it is not fit for work; it sends no orders until the lists arrive again, and asks for them with a delay that doubles up to 200 ms, or at once when the worker reports. The delay between calls of an order doubles too. Warnings about one order or one worker come once a second; the metrics count every call.

Ruled out: ending the lease at the first refused connection. A cut that refuses connections looks the same while the runs go on.

--- a/internal/node/runner/lease.go
+++ b/internal/node/runner/lease.go
@@ -6,6 +6,8 @@
 	"slices"
 	"time"
 
+	"github.com/cenkalti/backoff/v5"
+
 	"github.com/chestnutpond/chestnutpond"
 )
 
@@ -19,6 +21,12 @@
 	// holdPause is the pause after a call that failed or that returned ended runs.
 	// It delays the detection of starts and ends by as much.
 	holdPause = 25 * time.Millisecond
+	// maxHoldPause bounds the pause between calls that are not sent, which doubles with
+	// each. It delays the detection of a worker's return by as much.
+	maxHoldPause = 200 * time.Millisecond
+	// repeatedWarnings is the least time between two warnings about the same order, or about
+	// a worker that does not answer. The metrics count every call.
+	repeatedWarnings = time.Second
 )
 
 // leaseRenewer renews the worker's lease and reads its run lists, one call at a
@@ -28,17 +36,39 @@
 }
 
 func (r *leaseRenewer) loop(ctx context.Context) {
+	unsent := newBackoff(holdPause, maxHoldPause)
 	for ctx.Err() == nil {
 		if r.renew(ctx) {
 			continue
 		}
+		pause := holdPause
+		if r.agent.isUnreachable() {
+			pause = unsent.NextBackOff()
+		} else {
+			unsent.Reset()
+		}
 		select {
 		case <-ctx.Done():
-		case <-time.After(holdPause):
+		case <-time.After(pause):
+		case <-r.agent.reachable:
+			unsent.Reset()
 		}
 	}
 }
 
+// newBackoff returns delays that double from the least to the greatest.
+func newBackoff(least, greatest time.Duration) *backoff.ExponentialBackOff {
+	b := &backoff.ExponentialBackOff{InitialInterval: least, Multiplier: 2, MaxInterval: greatest}
+	b.Reset()
+	return b
+}
+
+func (a *Agent) isUnreachable() bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.unreachable
+}
+
 // renew makes one Renew call, and reports whether the next one may follow at once.
 func (r *leaseRenewer) renew(ctx context.Context) bool {
 	a := r.agent
@@ -114,11 +144,15 @@
 	var refused *chestnutpond.RefusedError
 	if errors.As(err, &refused) {
 		a.lists.unansweredSince = 0
+		a.setUnreachable(false)
 		a.cfg.Log.Warn("worker refused the hold call", "worker", a.worker.ID, "fence", a.orders.fence, "reason", refused.Refusal)
 		return
 	}
 	a.meters.unanswered.Inc(1)
-	a.cfg.Log.Warn("worker does not answer", "worker", a.worker.ID, "error", err)
+	a.setUnreachable(isNotSent(err))
+	a.silenceWarning.Do(func() {
+		a.cfg.Log.Warn("worker does not answer", "worker", a.worker.ID, "since", a.cfg.Now()-a.lists.unansweredSince, "error", err)
+	})
 }
 
 // handleListing stores the run lists of a Renew call, and reports whether the worker has
@@ -131,6 +165,7 @@
 		return false
 	}
 	a.lifeUnverified = false
+	a.setUnreachable(false)
 	if l.StartedMs != 0 && l.StartedMs != life.StartedMs {
 		a.cfg.Log.Info("worker started again", "worker", life.ID, "born", l.StartedMs, "before", life.StartedMs)
 		// Its kind, labels and capacity are not known before its first report.
--- a/internal/node/runner/links.go
+++ b/internal/node/runner/links.go
@@ -245,7 +245,7 @@
 		RemainingMs: w.Remaining.Milliseconds(), ColdMs: w.WarmupRemaining.Milliseconds(),
 	}
 	message.Left, message.Leaving = a.left, a.leaving || a.departingSince > 0
-	message.Unhealthy = !a.described
+	message.Unhealthy = !a.described || a.unreachable
 	if a.lists.unansweredSince > 0 {
 		message.SilentMs = (now - a.lists.unansweredSince).Milliseconds()
 		if message.SilentMs <= holdWait.Milliseconds()+1 {
--- a/internal/node/runner/orders.go
+++ b/internal/node/runner/orders.go
@@ -5,6 +5,8 @@
 	"errors"
 	"time"
 
+	"golang.org/x/time/rate"
+
 	"github.com/chestnutpond/chestnutpond"
 	"github.com/chestnutpond/chestnutpond/internal/wire/inner"
 )
@@ -14,8 +16,10 @@
 	// takes 1 ms. A worker that carries out orders late does not answer at all, and
 	// the next call resolves the order.
 	orderTimeout = 400 * time.Millisecond
-	// orderRetryDelay is the delay before an order is repeated.
-	orderRetryDelay = 20 * time.Millisecond
+	// orderRetryDelay is the delay before an order is repeated. It doubles with each call up
+	// to maxOrderRetryDelay.
+	orderRetryDelay    = 20 * time.Millisecond
+	maxOrderRetryDelay = 320 * time.Millisecond
 )
 
 // outcome is the result of an order that the worker has answered. It is guarded by
@@ -49,6 +53,7 @@
 	// inDoubt means that a call was not answered, and started that the worker has confirmed
 	// the start. Only the goroutine of run uses them.
 	inDoubt, started bool
+	warning          rate.Sometimes
 	// outcome is set if the worker will not execute the run. This field and the
 	// next are guarded by the agent's lock.
 	outcome outcome
@@ -105,7 +110,7 @@
 	}
 	for key, row := range a.orders.starts {
 		if a.starts[key] == nil && a.stops[key] == nil && !a.lapsed[key] {
-			s := &startOrder{agent: a, key: key, row: row, life: a.worker.Incarnation(), inDoubt: a.inDoubt(key)}
+			s := &startOrder{agent: a, key: key, row: row, life: a.worker.Incarnation(), inDoubt: a.inDoubt(key), warning: rate.Sometimes{Interval: repeatedWarnings}}
 			a.starts[key] = s
 			go s.run(ctx)
 		}
@@ -128,12 +133,19 @@
 // run repeats the call until the worker answers it or the order is withdrawn.
 func (s *startOrder) run(ctx context.Context) {
 	defer s.finish()
+	retry := newBackoff(orderRetryDelay, maxOrderRetryDelay)
 	for ctx.Err() == nil {
 		call, may, wanted := s.nextCall()
-		if !wanted || may && s.attempt(ctx, call) {
+		delay := orderRetryDelay
+		switch {
+		case !wanted:
+			return
+		case may && s.attempt(ctx, call):
 			return
+		case may:
+			delay = retry.NextBackOff()
 		}
-		sleep(ctx, orderRetryDelay)
+		sleep(ctx, delay)
 	}
 }
 
@@ -159,16 +171,22 @@
 		// bring a new one.
 	case isNotSent(err):
 		a.meters.countOrder(orderStart, notSent)
-		a.cfg.Log.Warn("start order was not sent", "task", s.key.task.String(), "run", s.key.run, "error", err)
+		s.warn("start order was not sent", err)
 	default:
 		s.inDoubt = true
 		a.meters.countOrder(orderStart, noAnswer)
 		a.addDoubt(s.key)
-		a.cfg.Log.Warn("start order was not answered", "task", s.key.task.String(), "run", s.key.run, "error", err)
+		s.warn("start order was not answered", err)
 	}
 	return false
 }
 
+func (s *startOrder) warn(message string, err error) {
+	s.warning.Do(func() {
+		s.agent.cfg.Log.Warn(message, "task", s.key.task.String(), "run", s.key.run, "error", err)
+	})
+}
+
 // addDoubt records a start call that was not answered and may be carried out later.
 func (a *Agent) addDoubt(key runKey) {
 	a.mu.Lock()
@@ -205,7 +223,7 @@
 	}
 	now := a.cfg.Now()
 	end, may := a.renewalEnd(now)
-	if !may || !a.lists.hasClock || a.lists.fence != a.orders.fence || a.silent(now) {
+	if !may || !a.lists.hasClock || a.lists.fence != a.orders.fence || !a.mayCall(now) {
 		return startCall{}, false, true
 	}
 	order := chestnutpond.StartOrder{
@@ -265,12 +283,19 @@
 // stopRun stops a run and reports whether the worker confirmed it. It gives up once the leader
 // has withdrawn its orders for the run.
 func (a *Agent) stopRun(ctx context.Context, key runKey, life chestnutpond.WorkerIncarnation) bool {
+	warning := rate.Sometimes{Interval: repeatedWarnings}
+	retry := newBackoff(orderRetryDelay, maxOrderRetryDelay)
 	for ctx.Err() == nil {
 		a.mu.Lock()
 		fence, wanted := a.orders.fence, a.worker.Incarnation() == life && a.mayExist(key)
+		may := a.mayCall(a.cfg.Now())
 		a.mu.Unlock()
-		if !wanted {
+		switch {
+		case !wanted:
 			return false
+		case !may:
+			sleep(ctx, orderRetryDelay)
+			continue
 		}
 		cctx, cancel := context.WithTimeout(ctx, orderTimeout)
 		_, err := a.cfg.Runner.Stop(cctx, chestnutpond.StopOrder{
@@ -282,9 +307,11 @@
 			a.cfg.Log.Info("run stopped", "task", key.task.String(), "run", key.run, "worker", life.ID)
 			return true
 		}
-		a.meters.countOrder(orderStop, noAnswer)
-		a.cfg.Log.Warn("stop order failed", "task", key.task.String(), "run", key.run, "error", err)
-		sleep(ctx, orderRetryDelay)
+		a.meters.countOrder(orderStop, resultOf(err))
+		warning.Do(func() {
+			a.cfg.Log.Warn("stop order failed", "task", key.task.String(), "run", key.run, "error", err)
+		})
+		sleep(ctx, retry.NextBackOff())
 	}
 	return false
 }
--- a/internal/node/runner/pace.go
+++ b/internal/node/runner/pace.go
@@ -5,12 +5,15 @@
 	"errors"
 	"time"
 
+	"golang.org/x/time/rate"
+
 	"github.com/chestnutpond/chestnutpond"
 )
 
 // pacer keeps the worker's filler runs at the pace that the leader orders.
 type pacer struct {
-	agent *Agent
+	agent   *Agent
+	warning rate.Sometimes
 }
 
 // paceInterval is the time between two checks of the paces.
@@ -32,7 +35,7 @@
 func (a *Agent) nextPace() (chestnutpond.PaceOrder, bool) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	if a.orders.life != a.worker.Incarnation() || !a.reported {
+	if a.orders.life != a.worker.Incarnation() || !a.reported || !a.mayCall(a.cfg.Now()) {
 		return chestnutpond.PaceOrder{}, false
 	}
 	for key := range a.appliedPaces {
@@ -59,8 +62,10 @@
 	cancel()
 	var refused *chestnutpond.RefusedError
 	if err != nil && !errors.As(err, &refused) {
-		a.meters.countOrder(orderPace, noAnswer)
-		a.cfg.Log.Warn("pace order was not answered", "task", o.Task.String(), "run", o.Run, "percent", o.Percent, "error", err)
+		a.meters.countOrder(orderPace, resultOf(err))
+		p.warning.Do(func() {
+			a.cfg.Log.Warn("pace order was not answered", "task", o.Task.String(), "run", o.Run, "percent", o.Percent, "error", err)
+		})
 		return false
 	}
 	result := "ok"
--- a/internal/node/runner/runner.go
+++ b/internal/node/runner/runner.go
@@ -25,6 +25,7 @@
 	"time"
 
 	"github.com/zeebo/errs"
+	"golang.org/x/time/rate"
 
 	"github.com/chestnutpond/chestnutpond"
 	"github.com/chestnutpond/chestnutpond/internal/node/mesh"
@@ -122,6 +123,13 @@
 	doubts map[runKey]time.Duration
 	// appliedPaces has the percentage that was last sent to the worker, by run.
 	appliedPaces map[runKey]int
+	// unreachable means that the last call for the worker's run lists was not sent, so that
+	// orders to it would not be either.
+	unreachable bool
+	// reachable is signalled when an unreachable worker may accept calls again.
+	reachable chan struct{}
+	// silenceWarning limits the warnings about a worker that does not answer.
+	silenceWarning rate.Sometimes
 	// lifeUnverified means that the last call for the worker's run lists failed, so
 	// that the next one may reach another incarnation of the worker.
 	lifeUnverified bool
@@ -178,7 +186,8 @@
 		lease:  newLeaseBound(c.Now() + c.Lease + leaseMargin),
 		starts: map[runKey]*startOrder{}, stops: map[runKey]*stopOrder{}, doubts: map[runKey]time.Duration{},
 		lapsed: map[runKey]bool{}, appliedPaces: map[runKey]int{},
-		changed: make(chan struct{}), ordersChanged: make(chan struct{}, 1), identifying: make(chan struct{}, 1),
+		silenceWarning: rate.Sometimes{Interval: repeatedWarnings},
+		changed:        make(chan struct{}), ordersChanged: make(chan struct{}, 1), reachable: make(chan struct{}, 1), identifying: make(chan struct{}, 1),
 	}
 	a.identifying <- struct{}{}
 	return a
@@ -191,12 +200,43 @@
 	a.lists = lists{}
 	a.starts, a.stops = map[runKey]*startOrder{}, map[runKey]*stopOrder{}
 	a.lapsed, a.appliedPaces = map[runKey]bool{}, map[runKey]int{}
+	a.setUnreachable(false)
 	a.lease = newLeaseBound(a.cfg.Now() + a.cfg.Lease + leaseMargin)
 	if a.orders.life != info.Incarnation() {
 		a.orders = orders{epoch: a.orders.epoch}
 	}
 }
 
+// setUnreachable records whether the worker accepts calls. The leader places nothing on a worker
+// that does not. The lock is held.
+func (a *Agent) setUnreachable(unreachable bool) {
+	if unreachable == a.unreachable {
+		return
+	}
+	a.unreachable = unreachable
+	value := int64(0)
+	if unreachable {
+		value = 1
+	}
+	a.meters.unreachable.Update(value)
+	a.notifyChange()
+}
+
+// retryUnreachable makes the next call to an unreachable worker at once. The lock is held.
+func (a *Agent) retryUnreachable() {
+	if !a.unreachable {
+		return
+	}
+	select {
+	case a.reachable <- struct{}{}:
+	default:
+	}
+}
+
+// mayCall reports whether orders to the worker may be sent: it accepts calls, and its lease is
+// still renewed. The lock is held.
+func (a *Agent) mayCall(now time.Duration) bool { return !a.unreachable && !a.silent(now) }
+
 // notifyChange makes the links report. The lock is held.
 func (a *Agent) notifyChange() {
 	a.revision++
@@ -219,7 +259,7 @@
 	go r.loop(ctx)
 	m := &linkManager{agent: a, links: map[string]*link{}}
 	go m.loop(ctx)
-	p := &pacer{agent: a}
+	p := &pacer{agent: a, warning: rate.Sometimes{Interval: repeatedWarnings}}
 	go p.loop(ctx)
 	o := &orderExecutor{agent: a}
 	o.loop(ctx)
