plan: settle the runs of former incarnations when a lease is over

What callers would see: a worker is lost, returns, and is lost again before it has listed its runs; the jobs of its former incarnation run for ever.

Cause: runs of a former incarnation are settled when the next one lists what it runs. When the lease of a silent worker is over, only the runs of the present incarnation were settled, and no orders name the others, so the agent can't report them as lapsed.

Change: both are settled then. What a late order may have started on the present incarnation has ended with the lease.

Ruled out: settling them when the incarnation changes, as an unanswered start may still reach the new one.

Result: TestLostWorkerWithStartOnItsWay, case "and is lost again as it returns", fails before and passes after.

--- a/internal/core/plan/report.go
+++ b/internal/core/plan/report.go
@@ -36,11 +36,7 @@
 		}
 	}
 	if rep.LeaseOver {
-		for _, r := range w.sortedRuns() {
-			if r.phase == runSeen && r.life == w.life {
-				p.settle(now, r, chestnutpond.RunLeaseExpired, "")
-			}
-		}
+		p.settleLeaseOver(now, w)
 	}
 	if rep.Listed && rep.Fence >= p.fence(w) {
 		p.settleReplaced(now, w)
@@ -94,6 +90,19 @@
 	}
 }
 
+// settleLeaseOver settles the runs of a silent worker whose lease has expired: those that it has
+// listed and those of its former incarnations. The agent knows of no other ones but those in its
+// orders, and reports these as lapsed.
+func (p *Planner) settleLeaseOver(now time.Duration, w *worker) {
+	for _, r := range w.sortedRuns() {
+		seen := r.phase == runSeen && r.life == w.life
+		former := r.phase != runDecided && r.life != w.life
+		if seen || former {
+			p.settle(now, r, chestnutpond.RunLeaseExpired, "")
+		}
+	}
+}
+
 // workerLeft settles all runs of a worker whose incarnation has ended.
 func (p *Planner) workerLeft(now time.Duration, w *worker) {
 	if w.left {
--- a/internal/core/plan/worker.go
+++ b/internal/core/plan/worker.go
@@ -93,8 +93,8 @@
 	// Lapsed are runs whose lease has expired and that will not be started any
 	// more.
 	Lapsed []RunRefusal
-	// LeaseOver means that every run ever listed has ended because its lease
-	// expired.
+	// LeaseOver means that every run ever listed, and every one of a former incarnation, has
+	// ended because the worker's lease expired.
 	LeaseOver bool
 	// UnansweredStarts are runs that an unanswered call may still start.
 	UnansweredStarts []UnansweredStart
--- a/internal/test/world/lost_test.go
+++ b/internal/test/world/lost_test.go
@@ -65,13 +65,23 @@
 			w.Agents[0].Kill()
 			w.Agents[0].Start()
 		}, recoveryTime},
+		"and its zone is evacuated": {(*Agent).Lose, 0, func(w *World) { w.SetEvacuated("zone-1", true) }, recoveryTime},
+		"and is lost again as it returns": {(*Agent).Lose, 0, func(w *World) {
+			a := w.Agents[0]
+			time.Sleep(time.Second)
+			a.Regain()
+			for !a.Report() {
+				time.Sleep(time.Millisecond)
+			}
+			a.Lose()
+		}, recoveryTime},
 		"silent": {func(a *Agent) {
 			a.SetQuiet(true)
 			a.Worker.SetMute(true)
 		}, 0, func(*World) {}, orderDelayLimit + recoveryTime},
 	} {
 		t.Run(name, func(t *testing.T) {
-			play(t, 2*time.Second, func(t *testing.T, w *World) {
+			playWith(t, 2*time.Second, func(c *Config) { c.Zones = 2 }, func(t *testing.T, w *World) {
 				w.accept(t, w.Entries[0], jobID, tasks(4))
 				w.running(t, 4)
 				c.lose(w.Agents[0])
