plan: stop the unlisted runs of a lost worker in an evacuated zone

What callers would see: a worker is lost, its zone is evacuated and the leader is killed; the jobs of that worker run until the evacuation ends.

Cause: the orders name no starts in an evacuated zone, and the runs that a new leader took over are stopped only after their worker has listed what it runs. So no orders name the runs of a lost worker, and its agent can't report them as lapsed.

Change: once the lease of a silent worker in an evacuated zone is over, its unlisted runs are stopped, and lapse as ordered stops do.

Result: TestLostWorkerWithStartOnItsWay, case "and its zone is evacuated as the leader is killed", fails before and passes after.

--- a/internal/core/plan/report.go
+++ b/internal/core/plan/report.go
@@ -48,6 +48,11 @@
 		p.reconcile(now, w, rep)
 	}
 	p.updateEvacuated(now, w)
+	if rep.LeaseOver && w.evacuated {
+		// No orders name the starts in an evacuated zone, and the worker may never list them.
+		// Its agent reports ordered stops as lapsed.
+		p.stopUnseen(now, w)
+	}
 	if rep.Left {
 		p.workerLeft(now, w)
 	}
--- a/internal/test/world/lost_test.go
+++ b/internal/test/world/lost_test.go
@@ -66,6 +66,10 @@
 			w.Agents[0].Start()
 		}, recoveryTime},
 		"and its zone is evacuated": {(*Agent).Lose, 0, func(w *World) { w.SetEvacuated("zone-1", true) }, recoveryTime},
+		"and its zone is evacuated as the leader is killed": {(*Agent).Lose, 0, func(w *World) {
+			w.SetEvacuated("zone-1", true)
+			restartLeader(w)
+		}, recoveryTime},
 		"and is lost again as it returns": {(*Agent).Lose, 0, func(w *World) {
 			a := w.Agents[0]
 			time.Sleep(time.Second)
