--- a/internal/test/world/operate.go
+++ b/internal/test/world/operate.go
@@ -25,8 +25,16 @@
 // evacuationPrefix precedes the zone in the key of a request for an evacuation.
 const evacuationPrefix = "evacuate-"
 
-// SetEvacuated requests the evacuation of a zone, or takes the request back.
+// SetEvacuated requests the evacuation of a zone, or takes the request back. The store must
+// serve the operator.
 func (w *World) SetEvacuated(zone string, on bool) {
+	if err := w.TrySetEvacuated(zone, on); err != nil {
+		panic(err)
+	}
+}
+
+// TrySetEvacuated is SetEvacuated while the store may be away.
+func (w *World) TrySetEvacuated(zone string, on bool) error {
 	var value []byte
 	if on {
 		value = []byte("{}")
@@ -35,7 +43,5 @@
 	_, err := way.Append(w.ctx, chestnutpond.TopicDesired, chestnutpond.KeyedAppend{
 		Records: []chestnutpond.KeyedRecord{{Key: evacuationPrefix + zone, Value: value}},
 	})
-	if err != nil {
-		panic(err)
-	}
+	return err
 }
