runner: a worker that has left is not unreachable

Cause: the calls for the lists end when a worker has left, so the gauge of an unreachable worker kept the value of the last one, and would raise its alarm.

Change: a departure resets it.

Result: TestDepartedWorkerIsNotUnreachable fails before in both cases and passes after.

--- a/internal/node/runner/identity.go
+++ b/internal/node/runner/identity.go
@@ -218,6 +218,7 @@
 func (a *Agent) recordLeft() {
 	a.cfg.Log.Info("worker has left", "worker", a.worker.ID, "born", a.worker.StartedMs)
 	a.left, a.departingSince = true, 0
+	a.setUnreachable(false)
 	a.notifyChange()
 }
 
--- a/internal/node/runner/lease.go
+++ b/internal/node/runner/lease.go
@@ -149,7 +149,7 @@
 		return
 	}
 	a.meters.unanswered.Inc(1)
-	a.setUnreachable(isNotSent(err))
+	a.setUnreachable(isNotSent(err) && !a.left)
 	a.silenceWarning.Do(func() {
 		a.cfg.Log.Warn("worker does not answer", "worker", a.worker.ID, "since", a.cfg.Now()-a.lists.unansweredSince, "error", err)
 	})
--- a/internal/node/runner/orders_test.go
+++ b/internal/node/runner/orders_test.go
@@ -259,3 +259,23 @@
 		})
 	})
 }
+
+// Guards against a worker that has left and counts as lost, which is an alarm.
+func TestDepartedWorkerIsNotUnreachable(t *testing.T) {
+	for name, leave := range map[string]chestnutpond.WorkerIncarnation{
+		"start time stated": testLife,
+		"confirmed later":   {ID: testLife.ID},
+	} {
+		t.Run(name, func(t *testing.T) {
+			playOrders(t, func(t *testing.T, a *Agent, w *scriptedWorker) {
+				w.set(func(w *scriptedWorker) { w.renewErr = errNotSent })
+				time.Sleep(2 * holdWait)
+				assert.Assert(t, a.isUnreachable())
+				a.HandleLeave(leave)
+				time.Sleep(time.Second)
+				assert.Assert(t, a.report().GetLeft())
+				assert.Assert(t, !a.isUnreachable())
+			})
+		})
+	}
+}
