runner: repeat an order soon after a call that timed out

Cause: since the delay before an order is repeated doubles with each call. On a worker that leaves orders unanswered, a call takes 400 ms already, and the doubled delays came on top.

Change: the delay starts anew after a call that timed out, and doubles only after calls that fail at once.

--- a/internal/node/runner/orders.go
+++ b/internal/node/runner/orders.go
@@ -5,6 +5,7 @@
 	"errors"
 	"time"
 
+	"github.com/cenkalti/backoff/v5"
 	"golang.org/x/time/rate"
 
 	"github.com/chestnutpond/chestnutpond"
@@ -16,8 +17,8 @@
 	// takes 1 ms. A worker that carries out orders late does not answer at all, and
 	// the next call resolves the order.
 	orderTimeout = 400 * time.Millisecond
-	// orderRetryDelay is the delay before an order is repeated. It doubles with each call up
-	// to maxOrderRetryDelay.
+	// orderRetryDelay is the delay before an order is repeated. It doubles up to
+	// maxOrderRetryDelay with each call that fails before its time-out.
 	orderRetryDelay    = 20 * time.Millisecond
 	maxOrderRetryDelay = 320 * time.Millisecond
 )
@@ -133,27 +134,47 @@
 // run repeats the call until the worker answers it or the order is withdrawn.
 func (s *startOrder) run(ctx context.Context) {
 	defer s.finish()
-	retry := newBackoff(orderRetryDelay, maxOrderRetryDelay)
+	retry := newOrderRetry()
 	for ctx.Err() == nil {
 		call, may, wanted := s.nextCall()
-		delay := orderRetryDelay
-		switch {
-		case !wanted:
-			return
-		case may && s.attempt(ctx, call):
+		if !wanted {
 			return
-		case may:
-			delay = retry.NextBackOff()
+		}
+		delay := orderRetryDelay
+		if may {
+			answered, err := s.attempt(ctx, call)
+			if answered {
+				return
+			}
+			delay = retry.delayAfter(err)
 		}
 		sleep(ctx, delay)
 	}
 }
 
+// orderRetry determines the delays between the calls of an order.
+type orderRetry struct {
+	backoff *backoff.ExponentialBackOff
+}
+
+func newOrderRetry() *orderRetry {
+	return &orderRetry{backoff: newBackoff(orderRetryDelay, maxOrderRetryDelay)}
+}
+
+// delayAfter returns the delay after a call that failed. A call that timed out has taken long
+// enough.
+func (r *orderRetry) delayAfter(err error) time.Duration {
+	if errors.Is(err, context.DeadlineExceeded) {
+		r.backoff.Reset()
+	}
+	return r.backoff.NextBackOff()
+}
+
 // attempt makes one call, and reports whether the worker has answered the order.
-func (s *startOrder) attempt(ctx context.Context, call startCall) bool {
+func (s *startOrder) attempt(ctx context.Context, call startCall) (answered bool, err error) {
 	a := s.agent
 	cctx, cancel := context.WithTimeout(ctx, orderTimeout)
-	_, err := a.cfg.Runner.Start(cctx, call.order)
+	_, err = a.cfg.Runner.Start(cctx, call.order)
 	cancel()
 	a.finishRenewal(s.life, call.renewal, err)
 	var refused *chestnutpond.RefusedError
@@ -162,10 +183,10 @@
 		s.started = true
 		a.meters.countOrder(orderStart, "ok")
 		a.cfg.Log.Info("run started", "task", s.key.task.String(), "run", s.key.run, "worker", s.life.ID)
-		return true
+		return true, nil
 	case errors.As(err, &refused) && refused.Refusal != chestnutpond.RefusedExpired:
 		s.handleRefusal(ctx, refused.Refusal)
-		return true
+		return true, nil
 	case errors.As(err, &refused):
 		// The worker's clock is ahead of its last known reading; the next run lists
 		// bring a new one.
@@ -178,7 +199,7 @@
 		a.addDoubt(s.key)
 		s.warn("start order was not answered", err)
 	}
-	return false
+	return false, err
 }
 
 func (s *startOrder) warn(message string, err error) {
@@ -284,7 +305,7 @@
 // has withdrawn its orders for the run.
 func (a *Agent) stopRun(ctx context.Context, key runKey, life chestnutpond.WorkerIncarnation) bool {
 	warning := rate.Sometimes{Interval: repeatedWarnings}
-	retry := newBackoff(orderRetryDelay, maxOrderRetryDelay)
+	retry := newOrderRetry()
 	for ctx.Err() == nil {
 		a.mu.Lock()
 		fence, wanted := a.orders.fence, a.worker.Incarnation() == life && a.mayExist(key)
@@ -311,7 +332,7 @@
 		warning.Do(func() {
 			a.cfg.Log.Warn("stop order failed", "task", key.task.String(), "run", key.run, "error", err)
 		})
-		sleep(ctx, retry.NextBackOff())
+		sleep(ctx, retry.delayAfter(err))
 	}
 	return false
 }
--- a/internal/node/runner/orders_test.go
+++ b/internal/node/runner/orders_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"log/slog"
 	"sync"
 	"sync/atomic"
@@ -279,3 +280,25 @@
 		})
 	}
 }
+
+// Guards against orders that are repeated late after calls that timed out, and against ones that
+// are repeated without a pause.
+func TestOrderRetry(t *testing.T) {
+	for name, c := range map[string]struct {
+		err  error
+		want time.Duration
+	}{
+		"timed out":          {fmt.Errorf("start: %w", context.DeadlineExceeded), orderRetryDelay},
+		"not sent":           {errNotSent, maxOrderRetryDelay},
+		"connection is lost": {syscall.ECONNRESET, maxOrderRetryDelay},
+	} {
+		t.Run(name, func(t *testing.T) {
+			r := newOrderRetry()
+			assert.Equal(t, r.delayAfter(c.err), orderRetryDelay)
+			for range 10 {
+				r.delayAfter(c.err)
+			}
+			assert.Equal(t, r.delayAfter(c.err), c.want)
+		})
+	}
+}
