runner: log a refused call for the lists once a second

Cause: a worker that refuses the calls for its lists, as one does whose leader's fence is outdated, was logged with each of 40 calls a second.

Change: once a second, like a worker that does not answer.

Result: TestRefusingWorkerIsLoggedOnceASecond fails before and passes after.

--- a/internal/node/runner/lease.go
+++ b/internal/node/runner/lease.go
@@ -145,7 +145,9 @@
 	if errors.As(err, &refused) {
 		a.lists.unansweredSince = 0
 		a.setUnreachable(false)
-		a.cfg.Log.Warn("worker refused the hold call", "worker", a.worker.ID, "fence", a.orders.fence, "reason", refused.Refusal)
+		a.refusalWarning.Do(func() {
+			a.cfg.Log.Warn("worker refused the hold call", "worker", a.worker.ID, "fence", a.orders.fence, "reason", refused.Refusal)
+		})
 		return
 	}
 	a.meters.unanswered.Inc(1)
--- a/internal/node/runner/orders_test.go
+++ b/internal/node/runner/orders_test.go
@@ -261,6 +261,16 @@
 	})
 }
 
+// Guards against a log line for each call that a worker refuses.
+func TestRefusingWorkerIsLoggedOnceASecond(t *testing.T) {
+	playOrders(t, func(t *testing.T, _ *Agent, w *scriptedWorker) {
+		w.set(func(w *scriptedWorker) { w.renewErr = &chestnutpond.RefusedError{Refusal: chestnutpond.RefusedFence} })
+		time.Sleep(time.Minute)
+		lines := w.lines.count.Load()
+		assert.Assert(t, lines > 0 && lines <= int64(time.Minute/repeatedWarnings)+1, "%d lines", lines)
+	})
+}
+
 // Guards against a worker that has left and counts as lost, which is an alarm.
 func TestDepartedWorkerIsNotUnreachable(t *testing.T) {
 	for name, leave := range map[string]chestnutpond.WorkerIncarnation{
--- a/internal/node/runner/runner.go
+++ b/internal/node/runner/runner.go
@@ -128,8 +128,9 @@
 	unreachable bool
 	// reachable is signalled when an unreachable worker may accept calls again.
 	reachable chan struct{}
-	// silenceWarning limits the warnings about a worker that does not answer.
-	silenceWarning rate.Sometimes
+	// silenceWarning limits the warnings about a worker that does not answer, refusalWarning
+	// those about one that refuses to list its runs.
+	silenceWarning, refusalWarning rate.Sometimes
 	// lifeUnverified means that the last call for the worker's run lists failed, so
 	// that the next one may reach another incarnation of the worker.
 	lifeUnverified bool
@@ -186,8 +187,8 @@
 		lease:  newLeaseBound(c.Now() + c.Lease + leaseMargin),
 		starts: map[runKey]*startOrder{}, stops: map[runKey]*stopOrder{}, doubts: map[runKey]time.Duration{},
 		lapsed: map[runKey]bool{}, appliedPaces: map[runKey]int{},
-		silenceWarning: rate.Sometimes{Interval: repeatedWarnings},
-		changed:        make(chan struct{}), ordersChanged: make(chan struct{}, 1), reachable: make(chan struct{}, 1), identifying: make(chan struct{}, 1),
+		silenceWarning: rate.Sometimes{Interval: repeatedWarnings}, refusalWarning: rate.Sometimes{Interval: repeatedWarnings},
+		changed: make(chan struct{}), ordersChanged: make(chan struct{}, 1), reachable: make(chan struct{}, 1), identifying: make(chan struct{}, 1),
 	}
 	a.identifying <- struct{}{}
 	return a
