runner: retries in a file of their own, plainer names

Cause: a reader found the delays and the limit of warnings in two files that are about leases and orders, a channel "reachable" beside a flag "unreachable", and a variable that hid its type.

No change of behaviour.

Result: the tests of runner, world, lead and plan pass; the generators give the committed files.

--- a/internal/node/runner/identity.go
+++ b/internal/node/runner/identity.go
@@ -124,7 +124,7 @@
 		a.cfg.Log.Info("worker changed its state", "worker", info.ID, "state", info.State, "remaining", info.Remaining)
 	}
 	a.worker, a.reportedAt, a.outdated = info, now, outdated{}
-	a.retryUnreachable()
+	a.noteReport()
 	if returned || !a.described || previous.State != info.State {
 		a.notifyChange()
 	}
@@ -139,7 +139,7 @@
 	a.cfg.Log.Info("worker registered", "worker", info.ID, "born", info.StartedMs, "service", info.Service, "zone", info.Zone,
 		"rack", info.Rack, "labels", info.Labels, "cpu", info.Capacity.CPU, "memory", info.Capacity.Memory,
 		"accelerators", info.Capacity.Accelerators, "state", info.State)
-	a.retryUnreachable()
+	a.noteReport()
 	a.resetLife(info)
 	a.worker, a.reported, a.reportedAt, a.outdated = info, true, a.cfg.Now(), outdated{}
 	a.left, a.departingSince, a.described = false, 0, true
--- a/internal/node/runner/lease.go
+++ b/internal/node/runner/lease.go
@@ -6,8 +6,6 @@
 	"slices"
 	"time"
 
-	"github.com/cenkalti/backoff/v5"
-
 	"github.com/chestnutpond/chestnutpond"
 )
 
@@ -24,9 +22,6 @@
 	// maxHoldPause bounds the pause between calls that are not sent, which doubles with
 	// each. It delays the detection of a worker's return by as much.
 	maxHoldPause = 200 * time.Millisecond
-	// repeatedWarnings is the least time between two warnings about the same order, or about
-	// a worker that does not answer. The metrics count every call.
-	repeatedWarnings = time.Second
 )
 
 // leaseRenewer renews the worker's lease and reads its run lists, one call at a
@@ -41,28 +36,18 @@
 		if r.renew(ctx) {
 			continue
 		}
-		pause := holdPause
-		if r.agent.isUnreachable() {
-			pause = unsent.NextBackOff()
-		} else {
+		if !r.agent.isUnreachable() {
 			unsent.Reset()
 		}
 		select {
 		case <-ctx.Done():
-		case <-time.After(pause):
-		case <-r.agent.reachable:
+		case <-time.After(unsent.NextBackOff()):
+		case <-r.agent.workerReturned:
 			unsent.Reset()
 		}
 	}
 }
 
-// newBackoff returns delays that double from the least to the greatest.
-func newBackoff(least, greatest time.Duration) *backoff.ExponentialBackOff {
-	b := &backoff.ExponentialBackOff{InitialInterval: least, Multiplier: 2, MaxInterval: greatest}
-	b.Reset()
-	return b
-}
-
 func (a *Agent) isUnreachable() bool {
 	a.mu.Lock()
 	defer a.mu.Unlock()
@@ -117,7 +102,7 @@
 		// end.
 		o.Wait = 0
 	}
-	renewal := renewal(0)
+	var lease renewal
 	if a.lifeUnverified {
 		// Another incarnation of the worker may answer under the same id. The lease
 		// and the acknowledgements are meant for the former one, so they are
@@ -125,13 +110,13 @@
 		o.Wait, o.Acknowledged = 0, 0
 	} else if end, may := a.renewalEnd(now); may && a.lists.hasClock && !silent {
 		o.Until = a.onWorkerClock(end)
-		renewal = a.lease.begin(end)
+		lease = a.lease.begin(end)
 	}
 	if a.lists.unansweredSince == 0 {
 		a.lists.unansweredSince = now
 	}
 	a.holdCalls++
-	return o, holdCall{number: a.holdCalls, fence: o.Fence, life: a.worker.Incarnation(), renewal: renewal}, true
+	return o, holdCall{number: a.holdCalls, fence: o.Fence, life: a.worker.Incarnation(), renewal: lease}, true
 }
 
 // holdFailed records a Renew call that returned no run lists.
--- a/internal/node/runner/orders.go
+++ b/internal/node/runner/orders.go
@@ -5,7 +5,6 @@
 	"errors"
 	"time"
 
-	"github.com/cenkalti/backoff/v5"
 	"golang.org/x/time/rate"
 
 	"github.com/chestnutpond/chestnutpond"
@@ -17,10 +16,6 @@
 	// takes 1 ms. A worker that carries out orders late does not answer at all, and
 	// the next call resolves the order.
 	orderTimeout = 400 * time.Millisecond
-	// orderRetryDelay is the delay before an order is repeated. It doubles up to
-	// maxOrderRetryDelay with each call that fails before its time-out.
-	orderRetryDelay    = 20 * time.Millisecond
-	maxOrderRetryDelay = 320 * time.Millisecond
 )
 
 // outcome is the result of an order that the worker has answered. It is guarded by
@@ -54,7 +49,8 @@
 	// inDoubt means that a call was not answered, and started that the worker has confirmed
 	// the start. Only the goroutine of run uses them.
 	inDoubt, started bool
-	warning          rate.Sometimes
+	// warning limits the warnings about the order.
+	warning rate.Sometimes
 	// outcome is set if the worker will not execute the run. This field and the
 	// next are guarded by the agent's lock.
 	outcome outcome
@@ -111,7 +107,10 @@
 	}
 	for key, row := range a.orders.starts {
 		if a.starts[key] == nil && a.stops[key] == nil && !a.lapsed[key] {
-			s := &startOrder{agent: a, key: key, row: row, life: a.worker.Incarnation(), inDoubt: a.inDoubt(key), warning: rate.Sometimes{Interval: repeatedWarnings}}
+			s := &startOrder{
+				agent: a, key: key, row: row, life: a.worker.Incarnation(), inDoubt: a.inDoubt(key),
+				warning: rate.Sometimes{Interval: warningInterval},
+			}
 			a.starts[key] = s
 			go s.run(ctx)
 		}
@@ -152,24 +151,6 @@
 	}
 }
 
-// orderRetry determines the delays between the calls of an order.
-type orderRetry struct {
-	backoff *backoff.ExponentialBackOff
-}
-
-func newOrderRetry() *orderRetry {
-	return &orderRetry{backoff: newBackoff(orderRetryDelay, maxOrderRetryDelay)}
-}
-
-// delayAfter returns the delay after a call that failed. A call that timed out has taken long
-// enough.
-func (r *orderRetry) delayAfter(err error) time.Duration {
-	if errors.Is(err, context.DeadlineExceeded) {
-		r.backoff.Reset()
-	}
-	return r.backoff.NextBackOff()
-}
-
 // attempt makes one call, and reports whether the worker has answered the order.
 func (s *startOrder) attempt(ctx context.Context, call startCall) (answered bool, err error) {
 	a := s.agent
@@ -304,7 +285,7 @@
 // stopRun stops a run and reports whether the worker confirmed it. It gives up once the leader
 // has withdrawn its orders for the run.
 func (a *Agent) stopRun(ctx context.Context, key runKey, life chestnutpond.WorkerIncarnation) bool {
-	warning := rate.Sometimes{Interval: repeatedWarnings}
+	warning := rate.Sometimes{Interval: warningInterval}
 	retry := newOrderRetry()
 	for ctx.Err() == nil {
 		a.mu.Lock()
--- a/internal/node/runner/orders_test.go
+++ b/internal/node/runner/orders_test.go
@@ -245,7 +245,7 @@
 			assert.Equal(t, w.startCalls+w.stopCalls, 0)
 			assert.Assert(t, w.renewCalls <= int(lost/maxHoldPause)+10, "%d calls", w.renewCalls)
 			lines := w.lines.count.Load()
-			assert.Assert(t, lines <= int64(lost/repeatedWarnings)+10, "%d lines", lines)
+			assert.Assert(t, lines <= int64(lost/warningInterval)+10, "%d lines", lines)
 			w.startErr, w.stopErr, w.renewErr = nil, nil, nil
 		})
 		time.Sleep(2 * maxHoldPause)
@@ -267,7 +267,7 @@
 		w.set(func(w *scriptedWorker) { w.renewErr = &chestnutpond.RefusedError{Refusal: chestnutpond.RefusedFence} })
 		time.Sleep(time.Minute)
 		lines := w.lines.count.Load()
-		assert.Assert(t, lines > 0 && lines <= int64(time.Minute/repeatedWarnings)+1, "%d lines", lines)
+		assert.Assert(t, lines > 0 && lines <= int64(time.Minute/warningInterval)+1, "%d lines", lines)
 	})
 }
 
--- a/internal/node/runner/runner.go
+++ b/internal/node/runner/runner.go
@@ -126,8 +126,8 @@
 	// unreachable means that the last call for the worker's run lists was not sent, so that
 	// orders to it would not be either.
 	unreachable bool
-	// reachable is signalled when an unreachable worker may accept calls again.
-	reachable chan struct{}
+	// workerReturned is signalled when an unreachable worker has sent a report.
+	workerReturned chan struct{}
 	// silenceWarning limits the warnings about a worker that does not answer, refusalWarning
 	// those about one that refuses to list its runs.
 	silenceWarning, refusalWarning rate.Sometimes
@@ -187,8 +187,8 @@
 		lease:  newLeaseBound(c.Now() + c.Lease + leaseMargin),
 		starts: map[runKey]*startOrder{}, stops: map[runKey]*stopOrder{}, doubts: map[runKey]time.Duration{},
 		lapsed: map[runKey]bool{}, appliedPaces: map[runKey]int{},
-		silenceWarning: rate.Sometimes{Interval: repeatedWarnings}, refusalWarning: rate.Sometimes{Interval: repeatedWarnings},
-		changed: make(chan struct{}), ordersChanged: make(chan struct{}, 1), reachable: make(chan struct{}, 1), identifying: make(chan struct{}, 1),
+		silenceWarning: rate.Sometimes{Interval: warningInterval}, refusalWarning: rate.Sometimes{Interval: warningInterval},
+		changed: make(chan struct{}), ordersChanged: make(chan struct{}, 1), workerReturned: make(chan struct{}, 1), identifying: make(chan struct{}, 1),
 	}
 	a.identifying <- struct{}{}
 	return a
@@ -223,13 +223,14 @@
 	a.notifyChange()
 }
 
-// retryUnreachable makes the next call to an unreachable worker at once. The lock is held.
-func (a *Agent) retryUnreachable() {
+// noteReport makes the next call to an unreachable worker at once, as it has sent a report. The
+// lock is held.
+func (a *Agent) noteReport() {
 	if !a.unreachable {
 		return
 	}
 	select {
-	case a.reachable <- struct{}{}:
+	case a.workerReturned <- struct{}{}:
 	default:
 	}
 }
@@ -260,7 +261,7 @@
 	go r.loop(ctx)
 	m := &linkManager{agent: a, links: map[string]*link{}}
 	go m.loop(ctx)
-	p := &pacer{agent: a, warning: rate.Sometimes{Interval: repeatedWarnings}}
+	p := &pacer{agent: a, warning: rate.Sometimes{Interval: warningInterval}}
 	go p.loop(ctx)
 	o := &orderExecutor{agent: a}
 	o.loop(ctx)
