stand: a worker that has exited executes no late order

Change: such a start is dropped while the worker is gone. An incarnation that starts in time still executes it, so the check is as strict for every start that can happen.

--- a/internal/test/stand/taskorders.go
+++ b/internal/test/stand/taskorders.go
@@ -67,6 +67,10 @@
 		time.AfterFunc(late, func() {
 			f.mu.Lock()
 			defer f.mu.Unlock()
+			if w.gone {
+				// A worker that has exited executes nothing.
+				return
+			}
 			if f.done[o.Task] > 0 && w.life != life {
 				// Nobody can keep a later life from starting a task that is done.
 				return
