lead: apply only reports of the own term

What callers would see: tasks that are at work, or done, run again.

Cause: a connection that was cut held a report up from epoch 3 to epoch 5 of the same entry. It named a former incarnation of the worker, silent and with its lease over, while the records had runs on the present one; the leader settled these as lost.

Change: a report counts if the agent knew of this term when it made it. An agent reports at once when a message names a new epoch.

--- a/internal/node/lead/attach.go
+++ b/internal/node/lead/attach.go
@@ -109,7 +109,9 @@
 	return count
 }
 
-// handleReport records a report and, if this entry leads, passes it to the planner.
+// handleReport records a report and, if this entry leads, passes it to the planner. A report
+// that was made before the agent knew of this term may be outdated: the connection may have held
+// it up while the worker started again and a former leader placed runs on it.
 func (s *stream) handleReport(r *inner.WorkerReport) {
 	m := s.manager
 	m.mu.Lock()
@@ -118,7 +120,7 @@
 	if w := r.GetWorker(); w != nil {
 		s.worker = w.GetId()
 	}
-	if m.term != nil && m.streams[s.agent] == s && r.GetWorker() != nil && r.GetEpoch() <= m.term.epoch {
+	if m.term != nil && m.streams[s.agent] == s && r.GetWorker() != nil && r.GetEpoch() == m.term.epoch {
 		now := m.cfg.Now()
 		before := m.term.planner.OrdersVersion(s.worker)
 		m.term.planner.Report(now, decodeReport(r, m.cfg.Log))
--- a/internal/node/runner/links.go
+++ b/internal/node/runner/links.go
@@ -303,12 +303,13 @@
 	now := a.cfg.Now()
 	l.unansweredSince = 0
 	a.cfg.Roster.Merge(message.GetEntries())
-	if message.GetEpoch() > a.epoch {
+	newEpoch := message.GetEpoch() > a.epoch
+	if newEpoch {
 		a.epoch, a.leader = message.GetEpoch(), message.GetLeader()
 		a.cfg.Log.Info("leader changed", "epoch", a.epoch, "leader", a.leader.GetName(), "told_by", l.address)
 	}
 	leads := message.GetLeads() && message.GetEpoch() == a.epoch
-	if leads != l.leads {
+	if leads != l.leads || leads && newEpoch {
 		l.leads = leads
 		select {
 		case l.reportNow <- struct{}{}:
