runner: report at once to an entry that leads in a new term

Cause: an agent reports at once when an entry says that it leads. After a cut in which that entry lost and regained the lead, the agent took this for nothing new, and the leader ignores what was made before: the next report came after up to 0.4 s.

Change: the term that an entry leads in counts as well.

The delay was not measured.

--- a/internal/node/runner/links.go
+++ b/internal/node/runner/links.go
@@ -59,8 +59,9 @@
 	// unansweredSince is when the first report after the entry's last message was
 	// sent, or 0.
 	unansweredSince time.Duration
-	// leads means that the entry has stated that it is the leader.
+	// leads means that the entry has stated that it is the leader, in the term of epoch.
 	leads bool
+	epoch int64
 }
 
 func (m *linkManager) loop(ctx context.Context) {
@@ -303,14 +304,14 @@
 	now := a.cfg.Now()
 	l.unansweredSince = 0
 	a.cfg.Roster.Merge(message.GetEntries())
-	newEpoch := message.GetEpoch() > a.epoch
-	if newEpoch {
+	if message.GetEpoch() > a.epoch {
 		a.epoch, a.leader = message.GetEpoch(), message.GetLeader()
 		a.cfg.Log.Info("leader changed", "epoch", a.epoch, "leader", a.leader.GetName(), "told_by", l.address)
 	}
 	leads := message.GetLeads() && message.GetEpoch() == a.epoch
-	if leads != l.leads || leads && newEpoch {
-		l.leads = leads
+	if leads != l.leads || leads && message.GetEpoch() != l.epoch {
+		// The leader ignores reports that were made before its term was known.
+		l.leads, l.epoch = leads, message.GetEpoch()
 		select {
 		case l.reportNow <- struct{}{}:
 		default:
