--- a/review/standins3/cluster.go
+++ b/review/standins3/cluster.go
@@ -459,3 +459,12 @@
 	}
 	return condition()
 }
+
+// busy returns the number of runs on all workers.
+func (c *cluster) busy() int {
+	n := 0
+	for _, w := range c.workers {
+		n += w.running()
+	}
+	return n
+}
--- a/review/standins3/hopeless.go
+++ b/review/standins3/hopeless.go
@@ -70,10 +70,7 @@
 			return nil, fmt.Errorf("%w: job %s is done without a run", errNotRun, id)
 		}
 	}
-	busy := 0
-	for _, w := range c.workers {
-		busy += w.running()
-	}
+	busy := c.busy()
 	rec.add("%d of %d sound jobs have not begun; %d runs on %d workers", len(waiting), len(sound), busy, hopelessAgents)
 	if len(waiting) == 0 {
 		return nil, nil
--- a/review/standins3/worker.go
+++ b/review/standins3/worker.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 )
 
@@ -115,6 +116,8 @@
 	checkpoint func(r *run) string
 	// ticketValid reports whether a start has a valid ticket; nil means that none is needed.
 	ticketValid func(worker, ticket string) bool
+	// refuses makes the worker answer 503 to all calls and do nothing for them.
+	refuses atomic.Bool
 
 	mu      sync.Mutex
 	born    int64
@@ -220,6 +223,10 @@
 
 // read reads a call and refuses one for another boot. It returns false if it has answered.
 func (w *worker) read(out http.ResponseWriter, r *http.Request, o *order) bool {
+	if w.refuses.Load() {
+		answer(out, http.StatusServiceUnavailable, map[string]any{})
+		return false
+	}
 	if json.NewDecoder(r.Body).Decode(o) != nil {
 		answer(out, http.StatusBadRequest, map[string]any{})
 		return false
