runner: a start that a former process of the agent may have sent is in doubt

Seen: workers left start orders unanswered and executed them late, an agent was stopped and started, and its worker drained.

Cause: whether a start call got no answer was known to one process of the agent only. The next one took the repeated order for one that nobody had sent and reported a refusal with certainty. The late call carries the fence of the leader that is still in office, so the worker accepts it.

Ruled out: a lost fence, and a stop that the worker forgets; after a stop by its number the late start is refused as old. Marking the open orders in the leader was tried: runs on a lost worker were held back after a kill of the leader (TestLostWorkerWithStartOnItsWay failed), as it does not know who had them.

Change: an order names the agent's process to which it was handed out first. In its first 13 s a process takes an order that names another one for one with an unanswered call: it stops the run by its number before it reports a refusal, and sends no further start to a draining worker. It reports the doubt to the leader, which holds the run back if the lease expires, because a later incarnation of the worker could execute the call.

After: the tests pass; the race tests of world, plan and node pass.

--- a/internal/core/plan/job.go
+++ b/internal/core/plan/job.go
@@ -134,6 +134,9 @@
 	// sent means that the start order was handed out by Orders, or by a former
 	// leader.
 	sent bool
+	// firstBoot identifies the process of the agent to which the start order was handed out
+	// first. It is empty if a former leader may have handed it out.
+	firstBoot string
 	// assigned is when this planner assigned or adopted the run, seen when its worker
 	// first listed it.
 	assigned, seen time.Duration
--- a/internal/core/plan/orders.go
+++ b/internal/core/plan/orders.go
@@ -59,6 +59,9 @@
 	Checkpoint string
 	// Ticket is the advice service's permission to run, empty if none is required.
 	Ticket string
+	// FirstBoot identifies the process of the agent to which the order was handed out first.
+	// It is empty if a former leader may have handed it out.
+	FirstBoot string
 }
 
 // OrdersVersion returns a number that changes whenever the worker's orders may have
@@ -91,7 +94,7 @@
 		case r.phase == runOrdered && r.sent && p.mayStart(w):
 			o.Starts = append(o.Starts, StartRun{
 				RunRef: RunRef{r.task.ref, r.number}, Payload: r.job().graph.Payload, Checkpoint: r.checkpoint,
-				Ticket: r.ticket,
+				Ticket: r.ticket, FirstBoot: r.firstBoot,
 			})
 		}
 	}
@@ -136,7 +139,7 @@
 	}
 	for _, r := range waiting {
 		if budget.left() && free.Covers(r.need) {
-			r.sent = true
+			r.sent, r.firstBoot = true, w.boot
 			free = free.Minus(r.need)
 			budget.take(r)
 		}
--- a/internal/core/plan/worker.go
+++ b/internal/core/plan/worker.go
@@ -27,6 +27,8 @@
 	life  chestnutpond.WorkerIncarnation
 	info  chestnutpond.WorkerInfo
 	agent string
+	// boot identifies the process of the agent that reported last.
+	boot string
 	// reported means that the worker has reported to this planner.
 	reported bool
 	// left means that this incarnation of the worker has ended.
@@ -76,7 +78,9 @@
 // Report is an agent's report about its worker.
 type Report struct {
 	Agent string
-	Info  chestnutpond.WorkerInfo
+	// Boot identifies the agent's process.
+	Boot string
+	Info chestnutpond.WorkerInfo
 	// Left means that this incarnation of the worker has ended.
 	Left bool
 	// Listed means that Running and Ended are the worker's lists under Fence.
--- a/internal/node/lead/attach.go
+++ b/internal/node/lead/attach.go
@@ -218,6 +218,7 @@
 	for _, s := range o.Starts {
 		message.Starts = append(message.Starts, &inner.StartRow{
 			Task: s.Task.String(), Run: s.Run, Payload: s.Payload, Checkpoint: s.Checkpoint, Ticket: s.Ticket,
+			FirstBoot: s.FirstBoot,
 		})
 	}
 	for _, s := range o.Stops {
@@ -235,7 +236,7 @@
 func decodeReport(r *inner.WorkerReport, log logger) plan.Report {
 	w := r.GetWorker()
 	rep := plan.Report{
-		Agent: r.GetAgent(),
+		Agent: r.GetAgent(), Boot: r.GetBoot(),
 		Info: chestnutpond.WorkerInfo{
 			ID: w.GetId(), StartedMs: w.GetBorn(), Service: w.GetService(), Zone: w.GetZone(), Rack: w.GetRack(),
 			Host: w.GetHost(), Labels: w.GetLabels(), Capacity: graph.DecodeVector(w.GetCapacity()),
--- a/internal/node/runner/orders.go
+++ b/internal/node/runner/orders.go
@@ -46,8 +46,9 @@
 	key   runKey
 	row   *inner.StartRow
 	life  chestnutpond.WorkerIncarnation
-	// inDoubt means that a call was not answered, and started that the worker has confirmed
-	// the start. Only the goroutine of run uses them.
+	// inDoubt means that a call was not answered, or that a former process of this agent may
+	// have made one. started means that the worker has confirmed the start. Only the goroutine
+	// of run uses them.
 	inDoubt, started bool
 	// warning limits the warnings about the order.
 	warning rate.Sometimes
@@ -106,9 +107,11 @@
 		}
 	}
 	for key, row := range a.orders.starts {
+		formerCall := a.formerCall(key, row)
 		if a.starts[key] == nil && a.stops[key] == nil && !a.lapsed[key] {
 			s := &startOrder{
-				agent: a, key: key, row: row, life: a.worker.Incarnation(), inDoubt: a.inDoubt(key),
+				agent: a, key: key, row: row, life: a.worker.Incarnation(),
+				inDoubt: a.inDoubt(key) || formerCall,
 				warning: rate.Sometimes{Interval: warningInterval},
 			}
 			a.starts[key] = s
@@ -124,6 +127,22 @@
 	}
 }
 
+// startAction is the next action of an order to start a run.
+type startAction int
+
+const (
+	// startWithdrawn means that the order is no longer wanted.
+	startWithdrawn startAction = iota
+	// startWait means that no call may be made now.
+	startWait
+	// startSend means that the call is to be made.
+	startSend
+	// startRefuse means that the worker accepts no further runs.
+	startRefuse
+	// startListed means that the worker has the run.
+	startListed
+)
+
 // startCall is a call that starts a run.
 type startCall struct {
 	order   chestnutpond.StartOrder
@@ -135,12 +154,18 @@
 	defer s.finish()
 	retry := newOrderRetry()
 	for ctx.Err() == nil {
-		call, may, wanted := s.nextCall()
-		if !wanted {
-			return
-		}
+		call, action := s.nextCall()
 		delay := orderRetryDelay
-		if may {
+		switch action {
+		case startWithdrawn:
+			return
+		case startListed:
+			s.started = true
+			return
+		case startRefuse:
+			s.withhold(ctx)
+			return
+		case startSend:
 			answered, err := s.attempt(ctx, call)
 			if answered {
 				return
@@ -203,6 +228,28 @@
 	a.notifyChange()
 }
 
+// formerCall reports whether a former process of this agent may have sent the order, so that the
+// call may still be carried out. If it was handed out to one, that is a doubt for the leader,
+// too. Former leaders' orders are in doubt here only: most of their runs have been at work for
+// long. The lock is held.
+func (a *Agent) formerCall(key runKey, row *inner.StartRow) bool {
+	if a.cfg.Now()-a.began > maxOrderDelay {
+		clear(a.ownOrders)
+		return false
+	}
+	switch row.GetFirstBoot() {
+	case a.cfg.Boot:
+		a.ownOrders[key] = true
+	case "":
+	default:
+		if _, known := a.doubts[key]; !known {
+			a.doubts[key] = a.began
+			a.notifyChange()
+		}
+	}
+	return !a.ownOrders[key]
+}
+
 // inDoubt reports whether an unanswered start call of the run may still be carried out. The
 // lock is held.
 func (a *Agent) inDoubt(key runKey) bool {
@@ -210,32 +257,44 @@
 	return found && a.cfg.Now()-at <= maxOrderDelay
 }
 
-// nextCall returns the call to make, whether the lease allows it now, and whether
-// the run is still wanted.
-func (s *startOrder) nextCall() (startCall, bool, bool) {
+// nextCall returns the next action, and the call to make if that is startSend.
+func (s *startOrder) nextCall() (startCall, startAction) {
 	a := s.agent
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	if a.starts[s.key] != s || a.orders.starts[s.key] == nil || a.lapsed[s.key] {
-		return startCall{}, false, false
+		return startCall{}, startWithdrawn
 	}
-	if a.worker.State == chestnutpond.WorkerDraining && !s.inDoubt {
-		s.outcome = outcome{reason: chestnutpond.RefusedUnhealthy, afterCall: a.holdCalls}
-		return startCall{}, false, false
+	draining := a.worker.State == chestnutpond.WorkerDraining
+	if draining && !s.inDoubt {
+		return startCall{}, startRefuse
 	}
 	now := a.cfg.Now()
 	end, may := a.renewalEnd(now)
 	if !may || !a.lists.hasClock || a.lists.fence != a.orders.fence || !a.mayCall(now) {
-		return startCall{}, false, true
+		return startCall{}, startWait
+	}
+	if draining {
+		// A repeated call could start the run now, on a worker that is about to exit.
+		if a.lists.contain(s.key) {
+			return startCall{}, startListed
+		}
+		return startCall{}, startRefuse
 	}
 	order := chestnutpond.StartOrder{
 		Task: s.key.task, Run: s.key.run, Payload: s.row.GetPayload(), Checkpoint: s.row.GetCheckpoint(),
 		Ticket: s.row.GetTicket(), Until: a.onWorkerClock(end), Fence: a.orders.fence, Worker: s.life.ID,
 	}
-	return startCall{order: order, renewal: a.lease.begin(end)}, true, true
+	return startCall{order: order, renewal: a.lease.begin(end)}, startSend
 }
 
-// handleRefusal records a refusal once no earlier call can take effect.
+// withhold refuses the order on behalf of a draining worker.
+func (s *startOrder) withhold(ctx context.Context) {
+	s.agent.cfg.Log.Info("start withheld from draining worker", "task", s.key.task.String(), "run", s.key.run, "worker", s.life.ID, "in_doubt", s.inDoubt)
+	s.refuse(ctx, chestnutpond.RefusedUnhealthy)
+}
+
+// handleRefusal handles a refusal of the worker.
 func (s *startOrder) handleRefusal(ctx context.Context, why chestnutpond.Refusal) {
 	a := s.agent
 	a.meters.countOrder(orderStart, string(why))
@@ -245,6 +304,12 @@
 		// that leader or the reports of the new incarnation resolve the run.
 		return
 	}
+	s.refuse(ctx, why)
+}
+
+// refuse records that the run will not be executed, once no earlier call can take effect.
+func (s *startOrder) refuse(ctx context.Context, why chestnutpond.Refusal) {
+	a := s.agent
 	if s.inDoubt && !a.stopRun(ctx, s.key, s.life) {
 		return
 	}
--- a/internal/node/runner/orders_test.go
+++ b/internal/node/runner/orders_test.go
@@ -312,3 +312,57 @@
 		})
 	}
 }
+
+// Guards against a start that is reported as refused although the former process of the agent may
+// have sent it, and against needless stops of orders that nobody else has had.
+func TestRefusalOfAnOrderOfTheFormerProcess(t *testing.T) {
+	refused := &chestnutpond.RefusedError{Refusal: chestnutpond.RefusedCapacity}
+	for name, c := range map[string]struct {
+		firstBoot string
+		draining  bool
+		running   bool
+		startErr  error
+		// age is the time since the start of the process.
+		age time.Duration
+		// starts and stops are the calls, doubts and refusals what is reported.
+		starts, stops, doubts, refusals int
+	}{
+		"own, worker drains":               {firstBoot: "boot-2", draining: true, refusals: 1},
+		"own, worker refuses":              {firstBoot: "boot-2", startErr: refused, starts: 1, refusals: 1},
+		"former process, worker drains":    {firstBoot: "boot-1", draining: true, stops: 1, doubts: 1, refusals: 1},
+		"former process, worker refuses":   {firstBoot: "boot-1", startErr: refused, starts: 1, stops: 1, doubts: 1, refusals: 1},
+		"former process, run is listed":    {firstBoot: "boot-1", draining: true, running: true, doubts: 1},
+		"former process, worker starts it": {firstBoot: "boot-1", starts: 1, doubts: 1},
+		"former process ended long ago":    {firstBoot: "boot-1", draining: true, age: maxOrderDelay, refusals: 1},
+		"former leader, worker drains":     {draining: true, stops: 1, refusals: 1},
+	} {
+		t.Run(name, func(t *testing.T) {
+			playOrders(t, func(t *testing.T, a *Agent, w *scriptedWorker) {
+				w.set(func(w *scriptedWorker) {
+					w.startErr = c.startErr
+					if c.running {
+						w.running = []chestnutpond.RunStatus{{Task: testRun.task, Run: testRun.run}}
+					}
+				})
+				time.Sleep(max(3*holdWait, c.age))
+				a.mu.Lock()
+				a.cfg.Boot = "boot-2"
+				if c.draining {
+					a.worker.State = chestnutpond.WorkerDraining
+				}
+				a.setOrders(&inner.WorkerOrders{
+					Worker: testLife.ID, Born: testLife.StartedMs, Epoch: 1, Fence: testFence,
+					Starts: []*inner.StartRow{{Task: testRun.task.String(), Run: testRun.run, FirstBoot: c.firstBoot}},
+				})
+				a.mu.Unlock()
+				time.Sleep(3 * holdWait)
+				w.set(func(w *scriptedWorker) {
+					assert.Equal(t, w.startCalls, c.starts, "start calls")
+					assert.Equal(t, w.stopCalls, c.stops, "stop calls")
+				})
+				assert.Equal(t, len(a.report().GetDoubts()), c.doubts)
+				assert.Equal(t, len(a.report().GetRefused()), c.refusals)
+			})
+		})
+	}
+}
--- a/internal/node/runner/runner.go
+++ b/internal/node/runner/runner.go
@@ -9,7 +9,10 @@
 //
 // An order to start a run is repeated until the worker answers it. If the worker
 // refuses it after unanswered calls, the agent stops the run by its number, after
-// which the worker never executes it, and only then reports the refusal.
+// which the worker never executes it, and only then reports the refusal. An order that
+// was handed out to another process of the agent first counts as one with an unanswered
+// call, because that process may have made one and ended, until no such call can be carried out
+// any more.
 //
 // The id and the start time of the worker, its chestnutpond.WorkerIncarnation, identify one
 // incarnation of the worker.
@@ -21,6 +24,7 @@
 import (
 	"context"
 	"log/slog"
+	"slices"
 	"sync"
 	"time"
 
@@ -58,9 +62,10 @@
 	Name string
 	// Service is the worker's service; empty means any.
 	Service string
-	Boot    string
-	Zone    string
-	Region  string
+	// Boot identifies the process among those of the same name.
+	Boot   string
+	Zone   string
+	Region string
 	// Address is where the agent serves the inner protocol.
 	Address string
 	Runner  chestnutpond.TaskRunner
@@ -84,6 +89,8 @@
 type Agent struct {
 	cfg    Config
 	meters *meters
+	// began is when the process started. Its former process made no call after that.
+	began time.Duration
 
 	// mu guards the fields below.
 	mu     sync.Mutex
@@ -121,6 +128,9 @@
 	// doubts has when a start call of a run last got no answer. It is kept across
 	// incarnations of the worker, because a later one may carry out such a call.
 	doubts map[runKey]time.Duration
+	// ownOrders has the orders to start runs that were handed out to this process first, until
+	// no call of a former process can be carried out any more.
+	ownOrders map[runKey]bool
 	// appliedPaces has the percentage that was last sent to the worker, by run.
 	appliedPaces map[runKey]int
 	// unreachable means that the last call for the worker's run lists was not sent, so that
@@ -179,14 +189,22 @@
 	unansweredSince time.Duration
 }
 
+// contain reports whether the run is running or has ended.
+func (l *lists) contain(key runKey) bool {
+	return slices.ContainsFunc(l.running, func(r chestnutpond.RunStatus) bool { return r.Task == key.task && r.Run == key.run }) ||
+		slices.ContainsFunc(l.ended, func(e chestnutpond.RunEnd) bool { return e.Task == key.task && e.Run == key.run })
+}
+
 // New returns an agent.
 func New(c Config) *Agent {
 	a := &Agent{
 		cfg:    c,
 		meters: newMeters(c.Metrics),
+		began:  c.Now(),
 		lease:  newLeaseBound(c.Now() + c.Lease + leaseMargin),
 		starts: map[runKey]*startOrder{}, stops: map[runKey]*stopOrder{}, doubts: map[runKey]time.Duration{},
-		lapsed: map[runKey]bool{}, appliedPaces: map[runKey]int{},
+		ownOrders: map[runKey]bool{},
+		lapsed:    map[runKey]bool{}, appliedPaces: map[runKey]int{},
 		silenceWarning: rate.Sometimes{Interval: warningInterval}, refusalWarning: rate.Sometimes{Interval: warningInterval},
 		changed: make(chan struct{}), ordersChanged: make(chan struct{}, 1), workerReturned: make(chan struct{}, 1), identifying: make(chan struct{}, 1),
 	}
