--- a/internal/core/plan/decide.go
+++ b/internal/core/plan/decide.go
@@ -116,6 +116,7 @@
 		w.add(r)
 		p.note(Note{Kind: NotePlaced, Job: t.ref.Job, Task: t.ref, Run: number, Worker: w.id, Source: u.job().source})
 	}
+	u.step.advice.fruitless = 0
 	j := u.job()
 	j.dirty = true
 	if j.phase == chestnutpond.JobQueued {
--- a/internal/core/plan/plan.go
+++ b/internal/core/plan/plan.go
@@ -139,6 +139,8 @@
 	// free for them in the current round.
 	urgent   map[string]urgentDemand
 	headroom map[string]map[*worker]bool
+	// inquiries counts the inquiries that were made.
+	inquiries int
 	// notes are the notes since the last call of Notes.
 	notes []Note
 	// trial observes the decisions about one job; nil unless the planner is a copy that
--- a/internal/node/lead/advice.go
+++ b/internal/node/lead/advice.go
@@ -64,7 +64,7 @@
 		t.planner.RecordAdviceFailure(m.cfg.Now(), inquiry)
 		return false
 	}
-	t.planner.RecordAdvice(sent, inquiry, tickets)
+	t.planner.RecordAdvice(m.cfg.Now(), sent, inquiry, tickets)
 	m.wakeUp()
 	return true
 }
