plan: search no reservation for a unit that fits on no worker

Cause: reserveEarliest tried 40 start times for each unit that does not fit now, also for one that fits on no empty worker, in every round. Change: such a unit gets no reservation without a search. It got none before.

--- a/internal/core/plan/predict.go
+++ b/internal/core/plan/predict.go
@@ -194,7 +194,7 @@
 // reserveEarliest reserves workers for a unit at the earliest time at which it
 // fits, so that smaller units that come later do not starve it.
 func (p *Planner) reserveEarliest(now time.Duration, u unit) {
-	if p.reservations >= maxReservations {
+	if p.reservations >= maxReservations || p.impossible(u) != "" {
 		return
 	}
 	for wait := reserveStep; wait <= reserveHorizon; wait += reserveStep {
