plan: bound the wait for a rack by what another place would cost

Seen: four workers of a rack were full with work that took ten times its estimate.

Cause: candidates left out all workers off the rack as long as those on it could hold the task once all runs there had ended, however long that takes. fitRack did the same for a gang that wants one rack.

Ruled out: reservations, which leave room on the idle workers, and wrong estimates; with right ones of hours the task waited all the same.

Change: a unit waits for a rack no longer than going elsewhere would prolong it, by its own expected duration, 10 s at most and 4 s for perpetual tasks. Then it may go anywhere and still prefers the rack of its data. A unit with a run has not waited, so that moves of running tasks stay on the rack.

TestMoveKeepsRack and TestRackIsPreferredAfterTheWait guard the change.

--- a/internal/core/plan/fit.go
+++ b/internal/core/plan/fit.go
@@ -67,8 +67,9 @@
 	return pack(u, candidates, free)
 }
 
-// candidates returns the workers that may run the unit and that accept selects. If
-// those on the rack of the step's data can ever hold it, it returns only them.
+// candidates returns the workers that may run the unit and that accept selects. While the
+// unit waits for the rack of its step's data, and that can ever hold it, it returns only those
+// on that rack.
 func (p *Planner) candidates(now time.Duration, u unit, accept func(w *worker) bool) []*worker {
 	def := u.step.def
 	var all []*worker
@@ -80,7 +81,7 @@
 			all = append(all, w)
 		}
 	}
-	if def.DataRack == "" {
+	if def.DataRack == "" || !p.awaitsRack(now, u) {
 		return all
 	}
 	near := slices.DeleteFunc(slices.Clone(all), func(w *worker) bool { return w.info.Rack != def.DataRack })
@@ -91,13 +92,14 @@
 }
 
 // fitRack fits a unit on a single rack, preferring the one with the fewest free
-// accelerators. A unit that no rack can ever hold may span racks.
+// accelerators. A unit that no rack can ever hold, or that no longer waits for one, may span
+// racks.
 func (p *Planner) fitRack(now time.Duration, u unit, candidates []*worker, free capacityFunc) []*worker {
 	var best []*worker
 	var bestLeft int64
-	possible := false
+	possible, awaits := false, p.awaitsRack(now, u)
 	for _, rack := range groupByRack(candidates) {
-		if pack(u, rack, p.releasable(now)) != nil {
+		if awaits && pack(u, rack, p.releasable(now)) != nil {
 			possible = true
 		}
 		chosen := pack(u, rack, free)
@@ -200,9 +202,11 @@
 
 // betterFit reports whether worker a is a better fit for the task than b.
 func betterFit(t *task, a *worker, aLeft chestnutpond.Resources, b *worker, bLeft chestnutpond.Resources) bool {
+	rack := t.step.def.DataRack
 	order := cmp.Or(
 		compareBool(t.avoid == a.id, t.avoid == b.id),
 		compareBool(a.health.suspect(), b.health.suspect()),
+		compareBool(rack != "" && a.info.Rack != rack, rack != "" && b.info.Rack != rack),
 		cmp.Compare(aLeft.Accelerators, bLeft.Accelerators),
 		cmp.Compare(aLeft.Memory, bLeft.Memory),
 		cmp.Compare(a.id, b.id),
--- a/internal/core/plan/fit_test.go
+++ b/internal/core/plan/fit_test.go
@@ -196,3 +196,85 @@
 	}
 	assert.Equal(t, len(b.placements(id)), 2)
 }
+
+// TestWaitForARackIsBounded guards against a unit that waits for the rack of its data, or for one
+// rack for its whole gang, for as long as the work there runs, while other racks are idle.
+func TestWaitForARackIsBounded(t *testing.T) {
+	const second = time.Second
+	data := chestnutpond.Step{Count: 1, Need: accelerators(1), DataRack: "r1", Estimate: second}
+	gang := chestnutpond.Step{Count: 2, Need: accelerators(4), PerWorker: 1, Gang: true, SameRack: true, Estimate: second}
+	with := func(s chestnutpond.Step, estimate time.Duration) chestnutpond.Step {
+		s.Estimate = estimate
+		return s
+	}
+	perpetual := with(data, second)
+	perpetual.Perpetual = true
+	for name, c := range map[string]struct {
+		held []string
+		// estimate is that of the work that holds the rack, and percent what it makes of it in
+		// 0.1 s.
+		estimate time.Duration
+		percent  int
+		step     chestnutpond.Step
+		// from and to bound the wait.
+		from, to time.Duration
+	}{
+		"rack of the data":                 {[]string{"w1", "w2"}, 6 * second, 1, data, 2 * second, 2 * second},
+		"work there takes hours":           {[]string{"w1", "w2"}, 5 * time.Hour, 0, data, 2 * second, 2 * second},
+		"work there ends in 5 s":           {[]string{"w1", "w2"}, 10 * second, 2, data, 2 * second, 2 * second},
+		"long work, much of it is to gain": {[]string{"w1", "w2"}, 5 * time.Hour, 0, with(data, time.Hour), 10 * second, 10 * second},
+		"perpetual work":                   {[]string{"w1", "w2"}, 5 * time.Hour, 0, perpetual, 4 * second, 4 * second},
+		"rack of the gang":                 {[]string{"w1", "w3"}, 6 * second, 1, gang, 2 * second, 2 * second},
+		"long gang":                        {[]string{"w1", "w3"}, 5 * time.Hour, 0, with(gang, time.Hour), 10 * second, 10 * second},
+	} {
+		t.Run(name, func(t *testing.T) {
+			b := newTestbed(t, 2, 2)
+			b.occupy(chestnutpond.Step{Need: accelerators(8), Estimate: c.estimate}, c.held...)
+			id := b.submit(1, "stock", c.step)
+			began, placed := b.now, 0
+			for placed == 0 && b.now-began < time.Minute {
+				b.round()
+				for _, n := range b.placements(id) {
+					placed += n
+				}
+				b.advance(100*time.Millisecond, c.percent)
+			}
+			waited := b.now - began - 100*time.Millisecond
+			assert.Equal(t, placed, c.step.Count)
+			assert.Assert(t, waited >= c.from && waited <= c.to+200*time.Millisecond, "waited %s", waited)
+		})
+	}
+}
+
+// TestRackIsPreferredAfterTheWait guards against a unit that leaves the rack of its data although
+// that has capacity.
+func TestRackIsPreferredAfterTheWait(t *testing.T) {
+	b := newTestbed(t, 2, 2)
+	held := b.occupy(chestnutpond.Step{Need: accelerators(8), Estimate: time.Hour}, "w1", "w2", "w3", "w4")
+	id := b.submit(1, "stock", chestnutpond.Step{Count: 1, Need: accelerators(1), DataRack: "r2", Estimate: time.Second})
+	for range 50 {
+		b.round()
+		b.advance(100*time.Millisecond, 0)
+	}
+	assert.Equal(t, len(b.placements(id)), 0)
+	b.endRuns(held, chestnutpond.RunDone)
+	b.waitForPlacement(id, 1, time.Second)
+	assert.Equal(t, b.placements(id)["w3"], 1, "%v", b.placements(id))
+}
+
+// TestMoveKeepsRack guards against a run that is moved off the rack of its data, where it would
+// take longer than on the worker that it leaves.
+func TestMoveKeepsRack(t *testing.T) {
+	b := newTestbed(t, 2, 2)
+	b.occupy(chestnutpond.Step{Need: accelerators(8), Estimate: time.Hour}, "w2")
+	id := b.submit(1, "stock", chestnutpond.Step{Count: 1, Need: accelerators(1), DataRack: "r1", Estimate: 2 * time.Second})
+	b.round()
+	assert.Equal(t, b.placements(id)["w1"], 1)
+	for range 50 {
+		b.advance(100*time.Millisecond, 1)
+		b.round()
+	}
+	r := b.p.jobs[id].occurrences[0].steps[0].tasks[0].current
+	b.p.moveIfFits(b.now, r, reasonSlow)
+	assert.Assert(t, !r.stopping, "the run is moved")
+}
--- a/internal/core/plan/job.go
+++ b/internal/core/plan/job.go
@@ -91,6 +91,8 @@
 	current *run
 	// notBefore is the earliest time at which the task may run again.
 	notBefore time.Duration
+	// waitingSince is when this planner last settled a run of the task, or 0.
+	waitingSince time.Duration
 	// shown is the duration that the progress of the last stopped run implies, or 0.
 	shown time.Duration
 	// bounded means that a stopped run was learned from.
--- a/internal/core/plan/settle.go
+++ b/internal/core/plan/settle.go
@@ -23,7 +23,7 @@
 	}
 	p.learnStopped(now, r, ending)
 	t.current = nil
-	t.phase = taskWaiting
+	t.phase, t.waitingSince = taskWaiting, now
 	j.dirty = true
 	if checkpoint != "" {
 		t.checkpoint, t.checkpointAt = checkpoint, now
