plan: store until when a task is held back

A worker left starts unanswered, its lease ended, and the leader held the tasks back. It was killed, the next leader started them elsewhere at once, and a later incarnation of the worker executed the late starts: the tasks ran twice at a time.

Cause: the hold was in the leader's memory only.

Ruled out: the new leader's fence, which the new incarnation has not received yet, and the agent's report of its doubts, which applies to no run of the new leader.

Change: the record of a waiting task says until when it is held, by the wall clock.

Before: TestLateOrderMeetsReplacedLeaderAndRestartedWorker failed with eight tasks run twice. After: it passes, and the race tests of world pass (246 s).

--- a/internal/core/plan/decide.go
+++ b/internal/core/plan/decide.go
@@ -18,7 +18,7 @@
 // Decide places the waiting units that fit. The starts take effect through TakeBatch,
 // BatchStored and Orders. It reports whether it placed anything.
 func (p *Planner) Decide(now time.Duration, wall time.Time) bool {
-	p.wall = wall
+	p.wall, p.decidedAt = wall, now
 	p.updateSettled(now)
 	p.removeSettled(wall)
 	for _, j := range p.active {
--- a/internal/core/plan/job.go
+++ b/internal/core/plan/job.go
@@ -89,8 +89,10 @@
 	checkpointAt time.Duration
 	// current is the task's valid run; nil unless the task is assigned.
 	current *run
-	// notBefore is the earliest time at which the task may run again.
+	// notBefore is the earliest time at which the task may run again, heldUntil the same time by
+	// the wall clock, for the record; both are zero if there is none.
 	notBefore time.Duration
+	heldUntil time.Time
 	// waitingSince is when this planner last settled a run of the task, or 0.
 	waitingSince time.Duration
 	// shown is the duration that the progress of the last stopped run implies, or 0.
--- a/internal/core/plan/plan.go
+++ b/internal/core/plan/plan.go
@@ -133,8 +133,10 @@
 	settled    bool
 	// lastInspection is when the progress of all runs was last inspected.
 	lastInspection time.Duration
-	// wall is the wall-clock time of the last call of Decide.
-	wall time.Time
+	// wall is the wall-clock time of the last call of Decide, decidedAt the same time by the
+	// planner's clock. Before the first call they are the time of the claim.
+	wall      time.Time
+	decidedAt time.Duration
 	// urgent has the need of recent urgent arrivals by service, headroom the workers kept
 	// free for them in the current round.
 	urgent   map[string]urgentDemand
@@ -162,9 +164,9 @@
 		model = learn.New(learn.Config{})
 	}
 	return &Planner{
-		cfg:      c,
-		model:    model,
-		wall:     c.Wall,
+		cfg:   c,
+		model: model,
+		wall:  c.Wall, decidedAt: c.ClaimedAt,
 		accounts: map[string]*account{},
 		jobs:     map[chestnutpond.JobID]*job{},
 		workers:  map[string]*worker{},
--- a/internal/core/plan/plan_test.go
+++ b/internal/core/plan/plan_test.go
@@ -66,7 +66,7 @@
 
 func (b *testbed) newPlanner(epoch int64, former time.Duration) *Planner {
 	p := New(Config{
-		Epoch: epoch, Lease: testLease, FormerGrantPeriod: former, ClaimedAt: b.now, Retention: time.Minute, RemoteSlowdown: 3,
+		Epoch: epoch, Lease: testLease, FormerGrantPeriod: former, ClaimedAt: b.now, Wall: b.wall, Retention: time.Minute, RemoteSlowdown: 3,
 		RestoreTime: 100 * time.Millisecond, Policy: Policy{LearnDurations: b.learns},
 	})
 	p.SetDocument(chestnutpond.Document{
@@ -575,6 +575,44 @@
 	assert.Equal(t, len(b.placements(id)), 1)
 }
 
+// TestSuccessorHoldsTaskInDoubt guards against a task that a new leader starts again although a
+// start of its last run may still be executed, and against one that it holds back for ever.
+func TestSuccessorHoldsTaskInDoubt(t *testing.T) {
+	for name, c := range map[string]struct {
+		// ahead is how far the wall clock of the new leader is ahead.
+		ahead time.Duration
+		// from and to bound the hold after the takeover.
+		from, to time.Duration
+	}{
+		"same wall clock":        {0, maxOrderDelay - 5*time.Second, maxOrderDelay - 4*time.Second},
+		"wall clock set back":    {-time.Hour, maxOrderDelay, maxOrderDelay + time.Second},
+		"wall clock set forward": {time.Hour, 0, time.Second},
+	} {
+		t.Run(name, func(t *testing.T) {
+			b := newTestbed(t, 2)
+			id := b.submit(1, "stock", chestnutpond.Step{Count: 1, Need: small})
+			b.round()
+			w := b.worker("w1")
+			w.running = map[RunRef]int{}
+			b.p.Report(b.now, Report{
+				Agent: w.agent, Info: w.info, Listed: true, Fence: b.currentFence(w),
+				UnansweredStarts: []UnansweredStart{{Task: chestnutpond.TaskRef{Job: id}, Run: 1}},
+			})
+			b.p.Report(b.now, Report{Agent: w.agent, Info: w.info, Left: true})
+			b.round()
+			table := b.storedJob(id)
+			b.now += 5 * time.Second
+			b.wall = b.wall.Add(5*time.Second + c.ahead)
+			b.p = b.newPlanner(2, 0)
+			b.p.Load(table)
+			b.report()
+			b.report()
+			held := b.waitForPlacement(id, 1, time.Minute)
+			assert.Assert(t, held >= c.from && held <= c.to, "held for %s", held)
+		})
+	}
+}
+
 // Another worker of the same agent proves that the former one has ended, also to a
 // leader that took over after the replacement.
 func TestReplacedWorker(t *testing.T) {
--- a/internal/core/plan/record.go
+++ b/internal/core/plan/record.go
@@ -225,6 +225,8 @@
 		if t.current != nil {
 			row.Worker = x.number(t.current.life)
 			row.Run, row.StartCheckpoint = t.current.number, t.current.checkpoint
+		} else if t.phase == taskWaiting && !t.heldUntil.IsZero() {
+			row.HeldUntilMs = t.heldUntil.UnixMilli()
 		}
 		rows = append(rows, row)
 	}
@@ -315,12 +317,25 @@
 		t := tasks[i]
 		t.lastRun, t.failures, t.checkpoint = row.GetRun(), int(row.GetFailures()), row.GetCheckpoint()
 		t.phase = taskPhase(row.GetState())
+		p.loadHold(t, row.GetHeldUntilMs())
 		if n := int(row.GetWorker()); n > 0 && n <= len(lives) {
 			p.loadRun(t, lives[n-1], row.GetStartCheckpoint())
 		}
 	}
 }
 
+// loadHold loads until when a task may not run again. No hold is longer than an unanswered start
+// call may be carried out, whatever the wall clocks say.
+func (p *Planner) loadHold(t *task, heldUntilMs int64) {
+	if heldUntilMs == 0 {
+		return
+	}
+	t.heldUntil = time.UnixMilli(heldUntilMs)
+	if left := min(t.heldUntil.Sub(p.wall), maxOrderDelay); left > 0 {
+		t.notBefore = p.decidedAt + left
+	}
+}
+
 // loadRun adopts a run that a former leader may have ordered.
 func (p *Planner) loadRun(t *task, l *inner.LifeRow, checkpoint string) {
 	w := p.worker(l.GetId())
--- a/internal/core/plan/settle.go
+++ b/internal/core/plan/settle.go
@@ -32,6 +32,7 @@
 		// The order could still be executed by a later incarnation of the worker, which
 		// has not received the fence.
 		t.notBefore = r.inDoubtAt + maxOrderDelay
+		t.heldUntil = p.wall.Add(t.notBefore - p.decidedAt)
 	}
 	switch {
 	case j.phase.Final():
--- a/internal/test/world/restart_test.go
+++ b/internal/test/world/restart_test.go
@@ -98,3 +98,32 @@
 		assert.Assert(t, w.Ended(late+2*work, jobID, chestnutpond.JobCompleted))
 	})
 }
+
+// TestLateOrderMeetsReplacedLeaderAndRestartedWorker guards against a task that runs twice at a
+// time because a new leader does not know that a start of its last run is in doubt, and a later
+// incarnation of the worker executes it.
+func TestLateOrderMeetsReplacedLeaderAndRestartedWorker(t *testing.T) {
+	const late, work = 10 * time.Second, 8 * time.Second
+	play(t, work, func(t *testing.T, w *World) {
+		first := w.Agents[0]
+		first.Worker.SetLate(late)
+		w.accept(t, w.Entries[0], jobID, tasks(8))
+		ordered := time.Now()
+		time.Sleep(100 * time.Millisecond)
+		first.Worker.SetLate(0)
+		first.Worker.SetMute(true)
+		time.Sleep(time.Until(ordered.Add(8 * time.Second)))
+		leader := w.Leader()
+		leader.Kill()
+		leader.Start()
+		time.Sleep(time.Until(ordered.Add(late - 100*time.Millisecond)))
+		// The incarnation that executes the call has received no fence yet.
+		first.SetQuiet(true)
+		first.Worker.Restart()
+		first.Worker.SetMute(true)
+		time.Sleep(time.Second)
+		first.Worker.SetMute(false)
+		first.SetQuiet(false)
+		assert.Assert(t, w.Ended(late+2*work, jobID, chestnutpond.JobCompleted))
+	})
+}
