runner: read the lists at once after a refusal

Cause: a refusal is reported with the first lists that were requested after it, and that call waited up to 250 ms for the end of a run, as the one in flight did. Change: that one call does not wait. TestRefusalIsReportedSoon failed before and passes after.

--- a/internal/node/runner/lease.go
+++ b/internal/node/runner/lease.go
@@ -74,6 +74,17 @@
 	return !departing && len(lists.Ended) == 0
 }
 
+// awaitsLists reports whether no Renew call has begun since the worker refused a start. Only the
+// lists of such a call show that the run is absent. The lock is held.
+func (a *Agent) awaitsLists() bool {
+	for _, s := range a.starts {
+		if s.outcome.reason != "" && !s.outcome.absent && s.outcome.afterCall == a.holdCalls {
+			return true
+		}
+	}
+	return false
+}
+
 // holdCall identifies a Renew call.
 type holdCall struct {
 	// number counts the Renew calls of the process.
@@ -97,7 +108,7 @@
 		Fence: a.orders.fence, Acknowledged: a.orders.acknowledged, Worker: a.worker.ID, Wait: holdWait,
 	}
 	silent := a.silent(now)
-	if !a.lists.hasClock || a.lists.fence != a.orders.fence || silent || a.departingSince > 0 {
+	if !a.lists.hasClock || a.lists.fence != a.orders.fence || silent || a.departingSince > 0 || a.awaitsLists() {
 		// The run lists are needed now, so the worker should not wait for a run to
 		// end.
 		o.Wait = 0
--- a/internal/node/runner/orders_test.go
+++ b/internal/node/runner/orders_test.go
@@ -366,3 +366,18 @@
 		})
 	}
 }
+
+// Guards against refused work that is placed elsewhere late, because the lists that show its
+// absence wait for the end of another run.
+func TestRefusalIsReportedSoon(t *testing.T) {
+	playOrders(t, func(t *testing.T, a *Agent, w *scriptedWorker) {
+		w.set(func(w *scriptedWorker) { w.startErr = &chestnutpond.RefusedError{Refusal: chestnutpond.RefusedCapacity} })
+		for range 20 {
+			a.order([]runKey{testRun}, nil)
+			time.Sleep(holdWait + 20*time.Millisecond)
+			assert.Equal(t, len(a.report().GetRefused()), 1)
+			a.order(nil, nil)
+			time.Sleep(90 * time.Millisecond)
+		}
+	})
+}
