--- a/internal/node/runner/orders_test.go
+++ b/internal/node/runner/orders_test.go
@@ -371,7 +371,9 @@
 // absence wait for the end of another run.
 func TestRefusalIsReportedSoon(t *testing.T) {
 	playOrders(t, func(t *testing.T, a *Agent, w *scriptedWorker) {
-		w.set(func(w *scriptedWorker) { w.startErr = &chestnutpond.RefusedError{Refusal: chestnutpond.RefusedCapacity} })
+		w.set(func(w *scriptedWorker) {
+			w.startErr = &chestnutpond.RefusedError{Refusal: chestnutpond.RefusedCapacity}
+		})
 		for range 20 {
 			a.order([]runKey{testRun}, nil)
 			time.Sleep(holdWait + 20*time.Millisecond)
