plan: the end of a late run completes its task

Cause: run 1 was settled as lost, a later incarnation of the worker executed its start, and the run ended as done. The leader took no notice of the end of a run that it did not have, and acknowledged it.

Ruled out: the hold of the task, which lasted 13 s, and the fence, which the incarnation had not received when it executed the start.

Change: such an end completes its task if that waits. It is acknowledged after the record of that is stored.

--- a/internal/core/plan/plan_test.go
+++ b/internal/core/plan/plan_test.go
@@ -575,6 +575,32 @@
 	assert.Equal(t, len(b.placements(id)), 1)
 }
 
+// TestRunDoneLate guards against a task that runs again after the end of a run that was settled as
+// lost, and whose start a later incarnation of the worker executed, has been acknowledged.
+func TestRunDoneLate(t *testing.T) {
+	b := newTestbed(t, 1)
+	id := b.submit(1, "stock", chestnutpond.Step{Count: 1, Need: small})
+	b.round()
+	w := b.worker("w1")
+	w.running = map[RunRef]int{}
+	ref := chestnutpond.TaskRef{Job: id}
+	b.p.Report(b.now, Report{
+		Agent: w.agent, Info: w.info, Listed: true, Fence: b.currentFence(w), UnansweredStarts: []UnansweredStart{{Task: ref, Run: 1}},
+	})
+	w.info.StartedMs++
+	b.p.Report(b.now, Report{Agent: w.agent, Info: w.info})
+	b.reportWorker(w)
+	b.round()
+	assert.Equal(t, len(b.placements(id)), 0)
+	w.end(RunRef{Task: ref, Run: 1}, chestnutpond.RunDone)
+	b.report()
+	b.round()
+	assert.Equal(t, b.phase(id), chestnutpond.JobCompleted)
+	b.advance(maxOrderDelay, 0)
+	b.round()
+	assert.Equal(t, len(b.placements(id)), 0, "the task runs again")
+}
+
 // TestSuccessorHoldsTaskInDoubt guards against a task that a new leader starts again although a
 // start of its last run may still be executed, and against one that it holds back for ever.
 func TestSuccessorHoldsTaskInDoubt(t *testing.T) {
--- a/internal/core/plan/report.go
+++ b/internal/core/plan/report.go
@@ -170,6 +170,8 @@
 		w.appliedSeq = e.Sequence
 		if r := w.runs[runKey{e.Task, e.Run}]; r != nil {
 			p.settle(now, r, e.Ending, e.Checkpoint)
+		} else if e.Ending == chestnutpond.RunDone {
+			p.completeLate(now, w, e)
 		}
 	}
 	for _, r := range w.sortedRuns() {
--- a/internal/core/plan/settle.go
+++ b/internal/core/plan/settle.go
@@ -48,12 +48,32 @@
 	}
 }
 
-// handleDone marks the task of a successful run as done, and its step, occurrence
-// and job once all their parts are.
+// handleDone learns from a successful run and marks its task as done.
 func (p *Planner) handleDone(now time.Duration, r *run) {
-	s := r.task.step
 	p.recordDuration(now, r)
-	r.task.phase = taskDone
+	p.complete(now, r.task)
+}
+
+// completeLate marks a task as done by a run that was settled as lost and whose start was
+// executed late. Its end is acknowledged, so the task must not run again.
+func (p *Planner) completeLate(now time.Duration, w *worker, e chestnutpond.RunEnd) {
+	s := p.stepOf(chestnutpond.StepRef{Job: e.Task.Job, Occurrence: e.Task.Occurrence, Step: e.Task.Step})
+	if s == nil || s.occurrence.job.phase.Final() || e.Task.Index >= len(s.tasks) {
+		return
+	}
+	t := s.tasks[e.Task.Index]
+	if t.phase != taskWaiting || e.Run > t.lastRun {
+		return
+	}
+	p.note(Note{Kind: NoteRunEnd, Job: e.Task.Job, Task: e.Task, Run: e.Run, Worker: w.id, Detail: "done late"})
+	s.occurrence.job.dirty = true
+	p.complete(now, t)
+}
+
+// complete marks a task as done, and its step, occurrence and job once all their parts are.
+func (p *Planner) complete(now time.Duration, done *task) {
+	s := done.step
+	done.phase = taskDone
 	if s.def.Gang {
 		// A gang is done once one member of the run is.
 		for _, t := range s.tasks {
