plan: hold back a run whose start went to a former process of the agent

An agent was killed within 0.4 s of a start call that got no answer, and the run was settled as lost before the next process had its order.

Cause: only agents tell of starts in doubt, and this one had not yet.

Ruled out: the doubt that a new process reports for orders of a former one; the order was never listed to it.

Change: the leader knows the process to which it handed an order out. Runs of former leaders are not concerned.

--- a/internal/core/plan/plan_test.go
+++ b/internal/core/plan/plan_test.go
@@ -575,6 +575,42 @@
 	assert.Equal(t, len(b.placements(id)), 1)
 }
 
+// TestRunOfAFormerProcessIsHeld guards against a task that starts again although the former process
+// of the agent, which may have sent its start, has ended without a report.
+func TestRunOfAFormerProcessIsHeld(t *testing.T) {
+	for name, c := range map[string]struct {
+		boot string
+		seen bool
+		held bool
+	}{
+		"same process":                    {"boot-1", false, false},
+		"process replaced":                {"boot-2", false, true},
+		"process replaced, run was there": {"boot-2", true, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			b := newTestbed(t, 2)
+			w := b.worker("w1")
+			b.p.Report(b.now, Report{Agent: w.agent, Boot: "boot-1", Info: w.info, Listed: true, Fence: b.currentFence(w)})
+			id := b.submit(1, "stock", chestnutpond.Step{Count: 1, Need: small})
+			w.ignored = map[RunRef]bool{{Task: chestnutpond.TaskRef{Job: id}, Run: 1}: !c.seen}
+			b.p.Decide(b.now, b.wall)
+			batch, err := b.p.TakeBatch(b.wall)
+			assert.NilError(t, err)
+			b.p.BatchStored(batch)
+			b.applyOrders(w)
+			rep := Report{Agent: w.agent, Boot: "boot-1", Info: w.info, Listed: true, Fence: b.currentFence(w)}
+			for r := range w.running {
+				rep.Running = append(rep.Running, chestnutpond.RunStatus{Task: r.Task, Run: r.Run})
+			}
+			b.p.Report(b.now, rep)
+			b.p.Report(b.now, Report{Agent: w.agent, Boot: c.boot, Info: w.info, LeaseOver: true, Left: true})
+			b.p.Decide(b.now, b.wall)
+			task := b.p.jobs[id].occurrences[0].steps[0].tasks[0]
+			assert.Equal(t, task.lastRun == 1, c.held, "runs: %d", task.lastRun)
+		})
+	}
+}
+
 // TestRunDoneLate guards against a task that runs again after the end of a run that was settled as
 // lost, and whose start a later incarnation of the worker executed, has been acknowledged.
 func TestRunDoneLate(t *testing.T) {
--- a/internal/core/plan/report.go
+++ b/internal/core/plan/report.go
@@ -22,7 +22,10 @@
 		// Inspect its runs in the next round.
 		p.lastInspection = 0
 	}
-	w.info, w.agent, w.boot = rep.Info, rep.Agent, rep.Boot
+	w.info, w.agent = rep.Info, rep.Agent
+	if w.boot != rep.Boot {
+		w.boot, w.bootAt = rep.Boot, now
+	}
 	w.lastReport, w.leaseExpired = now, false
 	w.silent, w.unhealthy = rep.Silent, rep.Unhealthy
 	for _, d := range rep.UnansweredStarts {
--- a/internal/core/plan/settle.go
+++ b/internal/core/plan/settle.go
@@ -28,10 +28,10 @@
 	if checkpoint != "" {
 		t.checkpoint, t.checkpointAt = checkpoint, now
 	}
-	if ending == chestnutpond.RunLeaseExpired && r.inDoubtAt > 0 {
+	if doubt := r.doubtedAt(); ending == chestnutpond.RunLeaseExpired && doubt > 0 {
 		// The order could still be executed by a later incarnation of the worker, which
 		// has not received the fence.
-		t.notBefore = r.inDoubtAt + maxOrderDelay
+		t.notBefore = doubt + maxOrderDelay
 		t.heldUntil = p.wall.Add(t.notBefore - p.decidedAt)
 	}
 	switch {
@@ -48,6 +48,15 @@
 	}
 }
 
+// doubtedAt returns when a start call for the run may last have been left without an answer, or
+// 0. The agent reports such calls, but a process that ends takes with it what it has not reported.
+func (r *run) doubtedAt() time.Duration {
+	if w := r.worker; r.sent && r.phase == runOrdered && r.firstBoot != "" && r.firstBoot != w.boot {
+		return max(r.inDoubtAt, w.bootAt)
+	}
+	return r.inDoubtAt
+}
+
 // handleDone learns from a successful run and marks its task as done.
 func (p *Planner) handleDone(now time.Duration, r *run) {
 	p.recordDuration(now, r)
--- a/internal/core/plan/worker.go
+++ b/internal/core/plan/worker.go
@@ -27,8 +27,10 @@
 	life  chestnutpond.WorkerIncarnation
 	info  chestnutpond.WorkerInfo
 	agent string
-	// boot identifies the process of the agent that reported last.
-	boot string
+	// boot identifies the process of the agent that reported last, bootAt is when that first
+	// reported. Former processes made no call after that.
+	boot   string
+	bootAt time.Duration
 	// reported means that the worker has reported to this planner.
 	reported bool
 	// left means that this incarnation of the worker has ended.
