plan, runner: clearer names of the parts of a start's origin and of inquiries

Cause: names and comments that a reader of the diff would stop at, and a test that took a job out of the planner again. A gang whose inquiry failed also kept its turn before all others; it gives it up now. No test shows that.

--- a/internal/core/plan/advice.go
+++ b/internal/core/plan/advice.go
@@ -22,8 +22,8 @@
 	// maxInquiryBackoff bounds the delay between two inquiries for a step that is placed
 	// after neither, although there is capacity for it.
 	maxInquiryBackoff = 4 * time.Second
-	// repeatedInterval is the number of inquiries of which one is for a step of which there
-	// has been one before, if such a step needs it.
+	// repeatedInterval is the number of inquiries after which a step that was inquired about
+	// before goes ahead of the others.
 	repeatedInterval = 8
 )
 
@@ -154,11 +154,14 @@
 	found   map[capacityNeed]bool
 }
 
+// capacityNeed is what the tasks of a step need of a worker.
 type capacityNeed struct {
 	service, label string
 	need           chestnutpond.Resources
-	until          time.Duration
-	preempts       bool
+	// until is when the capacity is needed at the latest.
+	until time.Duration
+	// preempts means that the step may preempt other runs.
+	preempts bool
 }
 
 // covers reports whether a worker is expected to have capacity for a task of the step. A step
@@ -276,7 +279,7 @@
 // RecordAdviceFailure records that an inquiry got no answer.
 func (p *Planner) RecordAdviceFailure(now time.Duration, q Inquiry) {
 	if s := p.stepOf(q.Step); s != nil {
-		s.advice.pending, s.advice.notBefore = false, now+inquiryRetryDelay
+		s.advice.pending, s.advice.left, s.advice.notBefore = false, 0, now+inquiryRetryDelay
 	}
 }
 
--- a/internal/core/plan/advice_test.go
+++ b/internal/core/plan/advice_test.go
@@ -29,11 +29,9 @@
 
 // submit submits a job of a queue with advice.
 func (s *adviceService) submit(priority int, def chestnutpond.Step) chestnutpond.JobID {
-	b := s.b
-	b.jobs++
-	g := adviceGraph(b, priority, def)
+	g := s.b.newGraph(priority, "stock", def)
 	g.Queue.Advice = &s.terms
-	b.p.Accept(g)
+	s.b.p.Accept(g)
 	return g.ID
 }
 
@@ -74,14 +72,6 @@
 	}
 }
 
-func adviceGraph(b *testbed, priority int, def chestnutpond.Step) *chestnutpond.Graph {
-	id := b.submit(priority, "stock", def)
-	g := *b.p.jobs[id].graph
-	delete(b.p.jobs, id)
-	b.p.active = b.p.active[:len(b.p.active)-1]
-	return &g
-}
-
 var (
 	oneTask   = chestnutpond.Step{Count: 1, Need: accelerators(1), Estimate: time.Second}
 	slowTerms = chestnutpond.AdvicePolicy{Base: 200 * time.Millisecond, PerWorker: 40 * time.Millisecond, Valid: 2 * time.Second}
--- a/internal/core/plan/plan_test.go
+++ b/internal/core/plan/plan_test.go
@@ -101,8 +101,15 @@
 
 // submit submits a job with one step.
 func (b *testbed) submit(priority int, account string, s chestnutpond.Step) chestnutpond.JobID {
+	g := b.newGraph(priority, account, s)
+	b.p.Accept(g)
+	return g.ID
+}
+
+// newGraph returns a job with one step.
+func (b *testbed) newGraph(priority int, account string, s chestnutpond.Step) *chestnutpond.Graph {
 	b.jobs++
-	g := &chestnutpond.Graph{
+	return &chestnutpond.Graph{
 		ID: chestnutpond.JobID(fmt.Sprintf("%016x", b.jobs)), Account: account, Steps: []chestnutpond.Step{s},
 		Accepted: b.wall,
 		Queue: chestnutpond.QueuePolicy{
@@ -110,8 +117,6 @@
 			TargetLatency: 400 * time.Millisecond,
 		},
 	}
-	b.p.Accept(g)
-	return g.ID
 }
 
 // round runs a scheduling round, stores its records, and has the workers execute
--- a/internal/node/runner/orders.go
+++ b/internal/node/runner/orders.go
@@ -107,7 +107,7 @@
 		}
 	}
 	for key, row := range a.orders.starts {
-		formerCall := a.formerCall(key, row)
+		formerCall := a.checkOrigin(key, row)
 		if a.starts[key] == nil && a.stops[key] == nil && !a.lapsed[key] {
 			s := &startOrder{
 				agent: a, key: key, row: row, life: a.worker.Incarnation(),
@@ -228,11 +228,11 @@
 	a.notifyChange()
 }
 
-// formerCall reports whether a former process of this agent may have sent the order, so that the
-// call may still be carried out. If it was handed out to one, that is a doubt for the leader,
-// too. Former leaders' orders are in doubt here only: most of their runs have been at work for
-// long. The lock is held.
-func (a *Agent) formerCall(key runKey, row *inner.StartRow) bool {
+// checkOrigin records to which process of the agent the order was handed out first, and reports
+// whether a former one may have made a call that can still be carried out. If the order was
+// handed out to a former one, the leader is told of the doubt, too; not so with orders of former
+// leaders, most of whose runs have been at work for long. The lock is held.
+func (a *Agent) checkOrigin(key runKey, row *inner.StartRow) bool {
 	if a.cfg.Now()-a.began > maxOrderDelay {
 		clear(a.ownOrders)
 		return false
