--- a/internal/core/plan/advice_test.go
+++ b/internal/core/plan/advice_test.go
@@ -182,3 +182,21 @@
 	s.play(2*time.Second, time.Second)
 	assert.Equal(t, b.phase(id), chestnutpond.JobCompleted, "%d inquiries", s.count[id])
 }
+
+// TestFailedInquiryGivesUpTheTurn guards against a gang that is inquired about again and again
+// while the service fails for it, and keeps other jobs from starting.
+func TestFailedInquiryGivesUpTheTurn(t *testing.T) {
+	b := newTestbed(t, 4, 4)
+	s := b.newAdviceService(chestnutpond.AdvicePolicy{Base: 10 * time.Millisecond, PerWorker: 400 * time.Millisecond, Valid: 2500 * time.Millisecond})
+	gang := s.submit(1, chestnutpond.Step{Count: 8, Need: accelerators(8), Gang: true, Estimate: time.Second})
+	b.round()
+	q, ok := b.p.NextInquiry(b.now)
+	assert.Assert(t, ok && q.Step.Job == gang)
+	b.p.RecordAdviceFailure(b.now, q)
+	b.advance(inquiryRetryDelay, 0)
+	other := s.submit(1, oneTask)
+	b.round()
+	q, ok = b.p.NextInquiry(b.now)
+	assert.Assert(t, ok)
+	assert.Equal(t, q.Step.Job, other)
+}
