plan, tool/story: the logs tell late ends and withheld starts

Cause: the ending of a run that was done late had a space in a metric's label, and the story of a job did not link a withheld start with its run. The log alone changes.

--- a/internal/core/plan/settle.go
+++ b/internal/core/plan/settle.go
@@ -10,6 +10,10 @@
 // states 12 s.
 const maxOrderDelay = 13 * time.Second
 
+// endingDoneLate is the ending that is logged and counted for a run that was done after it had
+// been settled as lost.
+const endingDoneLate = "done_late"
+
 // settle removes a run that has ended, or that can no longer exist, from its worker
 // and updates its task.
 func (p *Planner) settle(now time.Duration, r *run, ending chestnutpond.RunOutcome, checkpoint string) {
@@ -74,7 +78,7 @@
 	if t.phase != taskWaiting || e.Run > t.lastRun {
 		return
 	}
-	p.note(Note{Kind: NoteRunEnd, Job: e.Task.Job, Task: e.Task, Run: e.Run, Worker: w.id, Detail: "done late"})
+	p.note(Note{Kind: NoteRunEnd, Job: e.Task.Job, Task: e.Task, Run: e.Run, Worker: w.id, Detail: endingDoneLate})
 	s.occurrence.job.dirty = true
 	p.complete(now, t)
 }
--- a/internal/tool/story/job.go
+++ b/internal/tool/story/job.go
@@ -75,10 +75,11 @@
 		}
 	}
 	causes := map[string][]string{
-		"agent: run started":   {"lead: run placed"},
-		"agent: run stopped":   {"lead: run stopped"},
-		"agent: start refused": {"lead: run placed"},
-		"lead: run run_end":    {"agent: run stopped", "agent: start refused", "agent: run started"},
+		"agent: run started":                         {"lead: run placed"},
+		"agent: run stopped":                         {"lead: run stopped"},
+		"agent: start refused":                       {"lead: run placed"},
+		"agent: start withheld from draining worker": {"lead: run placed"},
+		"lead: run run_end":                          {"agent: run stopped", "agent: start refused", "agent: start withheld from draining worker", "agent: run started"},
 	}
 	events := make([]chestnutpond.Event, 0, len(lines))
 	for i := range lines {
