--- a/internal/test/world/restart_test.go
+++ b/internal/test/world/restart_test.go
@@ -22,6 +22,18 @@
 	}
 }
 
+// restartWithoutFence starts another incarnation of the worker that receives no call, and so no
+// fence, around the given time.
+func (a *Agent) restartWithoutFence(at time.Time) {
+	time.Sleep(time.Until(at.Add(-100 * time.Millisecond)))
+	a.SetQuiet(true)
+	a.Worker.Restart()
+	a.Worker.SetMute(true)
+	time.Sleep(time.Second)
+	a.Worker.SetMute(false)
+	a.SetQuiet(false)
+}
+
 // TestLateOrderMeetsRestartedAgent guards against a task that runs twice at a time because a new
 // process of an agent reports a start as refused that its former process left in doubt.
 func TestLateOrderMeetsRestartedAgent(t *testing.T) {
@@ -87,14 +99,7 @@
 		first.Start()
 		time.Sleep(time.Second)
 		first.Worker.SetMute(true)
-		time.Sleep(time.Until(ordered.Add(late - 100*time.Millisecond)))
-		// The incarnation that executes the call has received no fence yet.
-		first.SetQuiet(true)
-		first.Worker.Restart()
-		first.Worker.SetMute(true)
-		time.Sleep(time.Second)
-		first.Worker.SetMute(false)
-		first.SetQuiet(false)
+		first.restartWithoutFence(ordered.Add(late))
 		assert.Assert(t, w.Ended(late+2*work, jobID, chestnutpond.JobCompleted))
 	})
 }
@@ -116,14 +121,7 @@
 		leader := w.Leader()
 		leader.Kill()
 		leader.Start()
-		time.Sleep(time.Until(ordered.Add(late - 100*time.Millisecond)))
-		// The incarnation that executes the call has received no fence yet.
-		first.SetQuiet(true)
-		first.Worker.Restart()
-		first.Worker.SetMute(true)
-		time.Sleep(time.Second)
-		first.Worker.SetMute(false)
-		first.SetQuiet(false)
+		first.restartWithoutFence(ordered.Add(late))
 		assert.Assert(t, w.Ended(late+2*work, jobID, chestnutpond.JobCompleted))
 	})
 }
