plan: inquiries under load name about as many workers as a step needs

Cause: the record shows calls every 0.6 to 1.7 s, each about 11 workers for a step of one task, while a job came every 0.75 s. The service takes its time for each worker, so the queue grew; no job was passed over.

Ruled out: hopeless jobs that take turns; the record has no call for one.

Change: while other steps wait for their inquiry, one names as many workers as its step has waiting tasks, four at least. A step that was only denied keeps its place among the first.

Before: TestInquiriesUnderLoad failed in both cases. After: it passes.

--- a/internal/core/plan/advice.go
+++ b/internal/core/plan/advice.go
@@ -12,6 +12,9 @@
 	// maxInquiryWorkers limits the workers of one inquiry. The users' objectives
 	// allow for one call with 30 workers per step.
 	maxInquiryWorkers = 30
+	// minInquiryWorkers is the least number of workers of an inquiry while other steps wait
+	// for theirs, unless fewer are left.
+	minInquiryWorkers = 4
 	// ticketMargin is the least remaining validity of a ticket that is used. It
 	// covers the record, the order and the start.
 	ticketMargin = 500 * time.Millisecond
@@ -105,9 +108,9 @@
 }
 
 // NextInquiry returns the next inquiry to make; false if there is none. A gang that lacks
-// tickets for some workers comes first, as the others expire, then the steps of which there has
-// been no inquiry, by priority and acceptance, then the others, the one whose last inquiry is
-// oldest first. The caller must report the outcome through RecordAdvice or RecordAdviceFailure.
+// tickets for some workers comes first, as the others expire, then the steps that have had no
+// tickets since a task of them was last placed, by priority, last inquiry and acceptance, then
+// the others, the one whose last inquiry is oldest first. The caller must report the outcome through RecordAdvice or RecordAdviceFailure.
 func (p *Planner) NextInquiry(now time.Duration) (Inquiry, bool) {
 	var unfinished, first, repeated []*step
 	for _, j := range p.active {
@@ -117,10 +120,10 @@
 		for _, o := range j.occurrences {
 			for _, s := range o.steps {
 				switch {
-				case !s.open || s.done || s.advice.pending || now < s.advice.notBefore:
+				case !s.open || s.done || s.advice.pending || now < s.advice.notBefore || s.waitingWidth(now) == 0:
 				case s.advice.left > 0:
 					unfinished = append(unfinished, s)
-				case s.advice.inquiredAt == 0:
+				case s.advice.fruitless == 0:
 					first = append(first, s)
 				default:
 					repeated = append(repeated, s)
@@ -129,7 +132,10 @@
 		}
 	}
 	slices.SortStableFunc(first, func(a, b *step) int {
-		return cmp.Compare(a.occurrence.job.graph.Queue.Priority, b.occurrence.job.graph.Queue.Priority)
+		return cmp.Or(
+			cmp.Compare(a.occurrence.job.graph.Queue.Priority, b.occurrence.job.graph.Queue.Priority),
+			cmp.Compare(a.advice.inquiredAt, b.advice.inquiredAt),
+		)
 	})
 	slices.SortStableFunc(repeated, func(a, b *step) int { return cmp.Compare(a.advice.inquiredAt, b.advice.inquiredAt) })
 	order := slices.Concat(unfinished, first, repeated)
@@ -138,7 +144,7 @@
 	}
 	capacity := expectedCapacity{planner: p, now: now, found: map[capacityNeed]bool{}}
 	for _, s := range order {
-		if q, ok := p.nextInquiry(now, s, capacity); ok {
+		if q, ok := p.nextInquiry(now, s, capacity, len(order) > 1); ok {
 			p.inquiries++
 			return q, true
 		}
@@ -185,15 +191,17 @@
 }
 
 // nextInquiry returns the inquiry that the step needs now; false if it needs none, or if its
-// tickets would expire unused.
-func (p *Planner) nextInquiry(now time.Duration, s *step, capacity expectedCapacity) (Inquiry, bool) {
+// tickets would expire unused. If other steps wait for theirs, it names about as many workers as
+// the step has tasks, because the service takes its time for each.
+func (p *Planner) nextInquiry(now time.Duration, s *step, capacity expectedCapacity, others bool) (Inquiry, bool) {
 	left := s.advice.left
 	s.advice.left = 0
 	units := s.units(now)
 	if len(units) == 0 || !capacity.covers(s) {
 		return Inquiry{}, false
 	}
-	targets := p.inquiryTargets(now, s, len(s.waiting(now)))
+	waiting := len(s.waiting(now))
+	targets := p.inquiryTargets(now, s, waiting)
 	if len(targets) == 0 || p.impossible(units[0]) != "" {
 		return Inquiry{}, false
 	}
@@ -201,8 +209,12 @@
 		left = len(targets)
 	}
 	terms := s.occurrence.job.graph.Queue.Advice
+	size := min(len(targets), inquirySize(terms))
+	if others && !s.def.Gang {
+		size = min(size, max(minInquiryWorkers, waiting))
+	}
 	q := Inquiry{Step: s.ref()}
-	for _, w := range targets[:min(len(targets), inquirySize(terms))] {
+	for _, w := range targets[:size] {
 		q.Workers = append(q.Workers, w.id)
 	}
 	q.ResponseTime = terms.Base + time.Duration(len(q.Workers))*terms.PerWorker
--- a/internal/core/plan/advice_test.go
+++ b/internal/core/plan/advice_test.go
@@ -200,3 +200,27 @@
 	assert.Assert(t, ok)
 	assert.Equal(t, q.Step.Job, other)
 }
+
+// TestInquiriesUnderLoad guards against jobs that wait for their inquiries because the earlier ones
+// name more workers than their steps need.
+func TestInquiriesUnderLoad(t *testing.T) {
+	for name, denied := range map[string]map[string]bool{
+		"all workers are allowed": nil,
+		"half of them are denied": {"w1": true, "w3": true, "w5": true, "w7": true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			b := newTestbed(t, 4, 4)
+			s := b.newAdviceService(slowTerms)
+			s.denied = denied
+			var ids []chestnutpond.JobID
+			for range 60 {
+				ids = append(ids, s.submit(1, oneTask))
+				s.play(400*time.Millisecond, time.Second)
+			}
+			s.play(3*time.Second, time.Second)
+			for _, id := range ids {
+				assert.Equal(t, b.phase(id), chestnutpond.JobCompleted, "job %s", id)
+			}
+		})
+	}
+}
